--- /dev/null
+++ b/document/duration.go
@@ -0,0 +1,28 @@
+package document
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Duration is a time.Duration written as in "1.5s" in documents.
+type Duration time.Duration
+
+// UnmarshalJSON reads a duration such as "250ms".
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return err
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalJSON writes a duration such as "250ms".
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
--- /dev/null
+++ b/model/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+set -eu
