document: report every problem with its full path

Decode stopped at the first problem and gave unknown fields and wrong types without the index of the array element. It now compares the whole document with the target type first and reports all problems; malformed JSON is reported with line and column. Duplicate keys, null and names in another case are refused.

--- a/document/decode.go
+++ b/document/decode.go
@@ -6,30 +6,79 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
+	"unicode/utf8"
 )
 
-// Decode reads one JSON value into target and refuses unknown fields and trailing data.
-// The error is of type Problems.
+// Decode reads one JSON value into target. Unknown fields, duplicate keys, null,
+// names in another case and trailing data are refused. The error is of type Problems and
+// lists all of them; target is not changed then. Malformed JSON is reported alone, with its
+// line and column, because nothing after it can be read.
 func Decode(data []byte, target any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
-		return Problems{problemOf(err)}
+	if problem, bad := malformed(data); bad {
+		return Problems{problem}
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return Problems{{Value: "data after the document", Allowed: "one JSON value"}}
+	if problems := inspect(data, target); len(problems) > 0 {
+		return problems
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return Problems{problemOf(err)}
 	}
 	return nil
 }
 
+// malformed finds the first place where data is not one JSON value in UTF-8.
+func malformed(data []byte) (Problem, bool) {
+	if !utf8.Valid(data) {
+		return Problem{Path: place(data, invalidAt(data)), Value: "a byte that is not UTF-8", Allowed: "JSON in UTF-8"}, true
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	var whole json.RawMessage
+	if err := decoder.Decode(&whole); err != nil {
+		return syntaxProblem(data, err), true
+	}
+	end := decoder.InputOffset()
+	rest := bytes.TrimLeft(data[end:], " \t\r\n")
+	if len(rest) > 0 {
+		return Problem{Path: place(data, int64(len(data)-len(rest))), Value: "data after the document", Allowed: "one JSON value"}, true
+	}
+	return Problem{}, false
+}
+
+func syntaxProblem(data []byte, err error) Problem {
+	offset := int64(len(data))
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = max(syntax.Offset-1, 0)
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return Problem{Path: place(data, int64(len(data))), Value: "the end of the data", Allowed: "a complete JSON value"}
+	}
+	return Problem{Path: place(data, offset), Value: fmt.Sprintf("malformed JSON (%s)", err), Allowed: "a JSON value"}
+}
+
+// place names the line and the column, counted in bytes from 1, of an offset.
+func place(data []byte, offset int64) string {
+	before := data[:min(offset, int64(len(data)))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("line %d column %d", line, column)
+}
+
+func invalidAt(data []byte) int64 {
+	for i := 0; i < len(data); {
+		char, size := utf8.DecodeRune(data[i:])
+		if char == utf8.RuneError && size == 1 {
+			return int64(i)
+		}
+		i += size
+	}
+	return int64(len(data))
+}
+
 func problemOf(err error) Problem {
 	var kind *json.UnmarshalTypeError
 	if errors.As(err, &kind) {
 		return Problem{Path: kind.Field, Value: kind.Value, Allowed: "a value of type " + kind.Type.String()}
 	}
-	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
-		return Problem{Path: strings.Trim(name, `"`), Value: "the field " + name, Allowed: "only the documented fields"}
-	}
-	return Problem{Value: fmt.Sprintf("malformed JSON (%s)", err), Allowed: "a JSON document"}
+	return Problem{Value: fmt.Sprintf("unreadable value (%s)", err), Allowed: "a JSON value"}
 }
--- a/document/duration.go
+++ b/document/duration.go
@@ -26,3 +26,9 @@
 func (d Duration) MarshalJSON() ([]byte, error) {
 	return json.Marshal(time.Duration(d).String())
 }
+
+// Allowed says which values are accepted.
+func (Duration) Allowed() string { return `a duration such as "250ms" or "2s"` }
+
+// String writes a duration such as "250ms".
+func (d Duration) String() string { return time.Duration(d).String() }
--- a/document/problem.go
+++ b/document/problem.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -58,7 +59,11 @@
 	if holds {
 		return
 	}
-	c.problems = append(c.problems, Problem{Path: path, Value: fmt.Sprintf("%#v", value), Allowed: allowed})
+	shown := fmt.Sprint(value)
+	if text, ok := value.(string); ok {
+		shown = strconv.Quote(text)
+	}
+	c.problems = append(c.problems, Problem{Path: path, Value: shorten(shown), Allowed: allowed})
 }
 
 // Err returns the problems found, or nil.
