--- /dev/null
+++ b/route/check.go
@@ -0,0 +1,146 @@
+package route
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"magnoliahoist/document"
+)
+
+// Bounds of amounts; within them sums over a table can't overflow.
+const (
+	maxRate  = 1e12    // tokens a second
+	maxBurst = 1 << 40 // tokens
+)
+
+// reserved is the path under which callers reach models.
+const reserved = "/v1/"
+
+var prefix = regexp.MustCompile(`^(/[A-Za-z0-9_-][A-Za-z0-9._-]*)+/$`)
+
+// Parse reads and checks a routes table. The error is of type document.Problems.
+func Parse(data []byte) (Table, error) {
+	var t Table
+	if err := document.Decode(data, &t); err != nil {
+		return Table{}, err
+	}
+	if err := t.Check(); err != nil {
+		return Table{}, err
+	}
+	return t, nil
+}
+
+// Check finds everything that is wrong with the table by itself.
+// The error is of type document.Problems.
+func (t Table) Check() error {
+	var c document.Checker
+	c.Require(len(t.Accounts) > 0, "accounts", "an empty list", "at least one account")
+	c.Require(len(t.Routes) > 0, "routes", "an empty list", "at least one route")
+	known := t.checkAccounts(&c)
+	names := map[string]bool{}
+	for i, r := range t.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		c.Require(document.ValidName(r.Name), path+".name", r.Name, document.AllowedName)
+		c.Require(!names[r.Name], path+".name", r.Name, "a name that no other route has")
+		names[r.Name] = true
+		r.check(&c, path)
+		r.checkAccounts(&c, path, known)
+	}
+	t.checkPrefixes(&c)
+	return c.Err()
+}
+
+func (t Table) checkAccounts(c *document.Checker) map[string]bool {
+	known := map[string]bool{}
+	for i, a := range t.Accounts {
+		path := fmt.Sprintf("accounts[%d]", i)
+		c.Require(document.ValidName(a.Name), path+".name", a.Name, document.AllowedName)
+		c.Require(!known[a.Name], path+".name", a.Name, "a name that no other account has")
+		c.Require(a.Rate > 0 && a.Rate <= maxRate, path+".rate", a.Rate, fmt.Sprintf("more than 0 and at most %g tokens a second", float64(maxRate)))
+		c.Require(a.Burst > 0 && a.Burst <= maxBurst, path+".burst", a.Burst, fmt.Sprintf("1 to %d tokens", int64(maxBurst)))
+		cost, name := t.costliest(a.Name)
+		c.Require(a.Burst >= cost, path+".burst", a.Burst, fmt.Sprintf("at least %d tokens, the cost of a call of route %q", cost, name))
+		known[a.Name] = true
+	}
+	return known
+}
+
+// costliest returns the largest least cost of a call among the routes of an account.
+func (t Table) costliest(name string) (cost int64, by string) {
+	for _, r := range t.Routes {
+		if r.Account != name && !slices.Contains(r.Accounts, name) {
+			continue
+		}
+		if r.LeastCost() > cost {
+			cost, by = r.LeastCost(), r.Name
+		}
+	}
+	return cost, by
+}
+
+// LeastCost returns the tokens that a call with the shortest prompt is charged
+// before it is sent: a prompt has at least one token.
+func (r Route) LeastCost() int64 {
+	if r.Kind == Model {
+		return min(r.Tokens, maxBurst) + 1
+	}
+	return r.Tokens
+}
+
+func (r Route) check(c *document.Checker, path string) {
+	c.Require(document.ValidName(r.Pool), path+".pool", r.Pool, "the name of a pool")
+	c.Require(r.Wait >= 0, path+".wait", r.Wait, "0s or more")
+	c.Require(r.Tokens >= 0 && r.Tokens <= maxBurst, path+".tokens", r.Tokens, fmt.Sprintf("0 to %d tokens", int64(maxBurst)))
+	switch r.Kind {
+	case Model:
+		c.Require(document.ValidName(r.Model), path+".model", r.Model, "the name of a model")
+		c.Require(r.Adapter == "" || document.ValidName(r.Adapter), path+".adapter", r.Adapter, "the name of an adapter")
+		c.Require(r.Version == "" || document.ValidName(r.Version), path+".version", r.Version, "the version of a model")
+		c.Require(r.Tokens != 0, path+".tokens", r.Tokens, "1 or more on a route of kind model")
+		c.Require(r.Prefix == "", path+".prefix", r.Prefix, "no prefix on a route of kind model")
+		c.Require(r.Calls == Plain, path+".calls", r.Calls.String(), "no calls on a route of kind model")
+	case Service:
+		c.Require(r.Model == "", path+".model", r.Model, "no model on a route of kind service")
+		c.Require(r.Adapter == "", path+".adapter", r.Adapter, "no adapter on a route of kind service")
+		c.Require(r.Version == "", path+".version", r.Version, "no version on a route of kind service")
+		c.Require(prefix.MatchString(r.Prefix), path+".prefix", r.Prefix, "a path such as /tags/ that begins and ends with a slash")
+	}
+}
+
+func (r Route) checkAccounts(c *document.Checker, path string, known map[string]bool) {
+	if r.Open {
+		c.Require(len(r.Accounts) == 0, path+".accounts", r.Accounts, "no accounts on an open route")
+		c.Require(known[r.Account], path+".account", r.Account, "an account of the table, under which the open route is counted")
+		return
+	}
+	c.Require(r.Account == "", path+".account", r.Account, "no account on a route that is not open")
+	c.Require(len(r.Accounts) > 0, path+".accounts", "an empty list", "at least one account, or open")
+	seen := map[string]bool{}
+	for i, name := range r.Accounts {
+		at := fmt.Sprintf("%s.accounts[%d]", path, i)
+		c.Require(known[name], at, name, "an account of the table")
+		c.Require(!seen[name], at, name, "each account once")
+		seen[name] = true
+	}
+}
+
+func (t Table) checkPrefixes(c *document.Checker) {
+	for i, r := range t.Routes {
+		if r.Kind != Service || r.Prefix == "" {
+			continue
+		}
+		path := fmt.Sprintf("routes[%d].prefix", i)
+		c.Require(!overlap(r.Prefix, reserved), path, r.Prefix, "a prefix outside "+reserved)
+		for _, other := range t.Routes[:i] {
+			if other.Kind == Service && other.Prefix != "" && overlap(r.Prefix, other.Prefix) {
+				c.Require(false, path, r.Prefix, fmt.Sprintf("a prefix that doesn't overlap %s of route %q", other.Prefix, other.Name))
+			}
+		}
+	}
+}
+
+func overlap(a, b string) bool {
+	return strings.HasPrefix(a, b) || strings.HasPrefix(b, a)
+}
--- a/route/enum.go
+++ b/route/enum.go
@@ -35,3 +35,9 @@
 	}
 	return fmt.Errorf("calls %q is not one of plain, idempotent, once", text)
 }
+
+// Allowed lists the kinds.
+func (Kind) Allowed() string { return "model or service" }
+
+// Allowed lists the rules.
+func (Calls) Allowed() string { return "plain, idempotent or once" }
