--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"magnoliahoist/document"
+)
+
+// minSecret is the least length in characters of a secret; 16 hexadecimal ones are 64 bits.
+const minSecret = 16
+
+// validator records problems with what the table of fields allows.
+type validator struct{ document.Checker }
+
+func (v *validator) require(holds bool, path string, value any) {
+	v.Require(holds, path, value, allowed(path))
+}
+
+// Validate finds everything that is wrong with the settings. It reads no files.
+// The error is of type document.Problems.
+func (h Host) Validate() error {
+	v := &validator{}
+	v.require(h.ID == "" || document.ValidName(h.ID), "id", h.ID)
+	v.require(document.ValidName(h.Domain), "domain", h.Domain)
+	v.require(document.ValidName(h.Group), "group", h.Group)
+	h.checkAddresses(v)
+	h.checkAccess(v)
+	h.Limits.check(v)
+	h.checkTimes(v)
+	v.require(h.Holders >= 1 && h.Holders <= 64, "holders", h.Holders)
+	v.require(h.Overcommit >= 1 && h.Overcommit <= 4, "overcommit", h.Overcommit)
+	v.require(slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, h.Log.Level), "log.level", h.Log.Level)
+	v.require(h.Log.Format == "text" || h.Log.Format == "json", "log.format", h.Log.Format)
+	v.require(h.Ring >= 16 && h.Ring <= 1<<20, "ring", h.Ring)
+	return v.Err()
+}
+
+func (h Host) checkAddresses(v *validator) {
+	used := map[netip.AddrPort]string{}
+	for _, listen := range []struct{ path, address string }{
+		{"listen.callers", h.Listen.Callers}, {"listen.operators", h.Listen.Operators}, {"listen.peers", h.Listen.Peers},
+	} {
+		address, err := netip.ParseAddrPort(listen.address)
+		v.require(err == nil && (listen.path != "listen.peers" || !address.Addr().IsUnspecified()), listen.path, listen.address)
+		if err != nil || address.Port() == 0 { // the system chooses a free port
+			continue
+		}
+		v.Require(used[address] == "", listen.path, listen.address, "an address other than that of "+used[address])
+		used[address] = listen.path
+	}
+	for _, service := range []struct{ path, address string }{
+		{"platform.table", h.Platform.Table}, {"platform.objects", h.Platform.Objects}, {"platform.hosts", h.Platform.Hosts}, {"platform.weights", h.Platform.Weights},
+	} {
+		if service.path == "platform.weights" && service.address == "" {
+			continue
+		}
+		address, err := netip.ParseAddrPort(service.address)
+		v.require(err == nil && address.Port() != 0 && !address.Addr().IsUnspecified(), service.path, service.address)
+	}
+}
+
+func (h Host) checkAccess(v *validator) {
+	v.require(h.Secret == "" || len(h.Secret) >= minSecret, "secret", "(hidden)")
+	v.require(h.Credential == "" || len(h.Credential) >= minSecret, "credential", "(hidden)")
+	v.Require(loopback(h.Listen.Peers) || h.Secret != "" || h.TLS.Peers.Used(), "secret", "", "a secret, or tls.peers, because listen.peers is not a loopback address")
+	v.Require(loopback(h.Listen.Operators) || h.Credential != "", "credential", "", "a credential, because listen.operators is not a loopback address")
+	h.TLS.Callers.check(v, "tls.callers", false)
+	h.TLS.Operators.check(v, "tls.operators", false)
+	h.TLS.Peers.check(v, "tls.peers", true)
+}
+
+func (f Files) check(v *validator, path string, mutual bool) {
+	v.Require(f.Cert == "" || f.Key != "", path+".key", f.Key, "the key of "+path+".cert")
+	v.Require(f.Key == "" || f.Cert != "", path+".cert", f.Cert, "the certificate of "+path+".key")
+	v.Require(f.CA == "" || f.Cert != "", path+".cert", f.Cert, "a certificate, because "+path+".ca is set")
+	v.Require(!mutual || f.Cert == "" || f.CA != "", path+".ca", f.CA, "the authorities of the other hosts' certificates")
+}
+
+func (l Limits) check(v *validator) {
+	v.require(l.Body >= 1<<10 && l.Body <= 1<<30, "limits.body", l.Body)
+	v.require(l.Header >= 1<<10 && l.Header <= 1<<20, "limits.header", l.Header)
+	v.require(l.Connections >= 1 && l.Connections <= 1_000_000, "limits.connections", l.Connections)
+	v.require(l.Read > 0, "limits.read", l.Read)
+	v.require(l.Idle > 0, "limits.idle", l.Idle)
+	v.require(l.Call > 0, "limits.call", l.Call)
+}
+
+// checkTimes bounds the window at 5 s, because a change is in force one window after
+// its acceptance and has to be in force within 10 s altogether.
+func (h Host) checkTimes(v *validator) {
+	window, poll, lag := time.Duration(h.Window), time.Duration(h.Poll), time.Duration(h.Lag)
+	v.require(window >= 500*time.Millisecond && window <= 5*time.Second && poll <= window/2, "window", h.Window)
+	v.require(poll >= 50*time.Millisecond, "poll", h.Poll)
+	v.require(lag >= 0 && lag <= time.Minute, "lag", h.Lag)
+}
+
+func loopback(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err != nil || parsed.Addr().Unmap().IsLoopback() // a bad address is reported by itself
+}
