replica: add the view of the fleet rows, freshness and acceptance

The view keeps raw and decoded rows by kind; a row that does not decode is kept and reported. Acceptance also counts the member sets that a fresh host may still use, because hosts that join quickly could otherwise accept a change without the older members.

--- /dev/null
+++ b/replica/key.go
@@ -0,0 +1,40 @@
+package replica
+
+// Prefix is the common prefix of all replicated rows.
+const Prefix = "fleet/"
+
+// Prefixes of the rows of each kind.
+const (
+	keyHead       = Prefix + "head"
+	prefixAccount = Prefix + "account/"
+	prefixRoute   = Prefix + "route/"
+	prefixPool    = Prefix + "pool/"
+	prefixKey     = Prefix + "key/"
+	prefixMember  = Prefix + "member/"
+	prefixShare   = Prefix + "share/"
+	prefixLease   = Prefix + "lease/"
+)
+
+// KeyForHead returns the key of the head row.
+func KeyForHead() string { return keyHead }
+
+// KeyForAccount returns the key of an account's row.
+func KeyForAccount(name string) string { return prefixAccount + name }
+
+// KeyForRoute returns the key of a route's row.
+func KeyForRoute(name string) string { return prefixRoute + name }
+
+// KeyForPool returns the key of a pool's row.
+func KeyForPool(name string) string { return prefixPool + name }
+
+// KeyForKey returns the key of the row of an account key with the digest.
+func KeyForKey(digest string) string { return prefixKey + digest }
+
+// KeyForMember returns the key of a member's row.
+func KeyForMember(id string) string { return prefixMember + id }
+
+// KeyForShare returns the key of the row with the holders of an account's allowance.
+func KeyForShare(account string) string { return prefixShare + account }
+
+// KeyForLease returns the key of a pool's lease row.
+func KeyForLease(pool string) string { return prefixLease + pool }
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,95 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	"magnoliahoist/account"
+	"magnoliahoist/replica"
+	"magnoliahoist/route"
+	"magnoliahoist/table"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func memberRow(id string, revision int64) table.Row {
+	m := replica.Member{Address: id, Domain: "d", Group: "g"}
+	return table.Row{Key: replica.KeyForMember(id), Value: replica.EncodeMember(m), Revision: revision}
+}
+
+// TestLearnGap guards against a view that lacks rows below its revision, and against a reverted one.
+func TestLearnGap(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New("a", "g", time.Second)
+	c.Assert(r.Learn(0, 0, replica.FromTable{}, 4, table.Snapshot{Revision: 9}), qt.IsFalse)
+	c.Assert(r.Fresh(0), qt.IsFalse)
+	c.Assert(r.Learn(0, 0, replica.FromTable{}, 0, table.Snapshot{Revision: 9}), qt.IsTrue)
+	c.Assert(r.Learn(0, 0, replica.FromMember{ID: "b", TableAge: -1}, 0, table.Snapshot{Revision: 3}), qt.IsTrue)
+	c.Assert(r.View().Revision(), qt.Equals, int64(9))
+}
+
+// TestMajority guards against freshness from a minority, and from the latest instead of the earliest exchange.
+func TestMajority(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New("a", "g", 3*time.Second)
+	rows := []table.Row{memberRow("a", 1), memberRow("b", 2), memberRow("c", 3), memberRow("d", 4), memberRow("e", 5)}
+	r.Learn(0, 0, replica.FromTable{}, 0, table.Snapshot{Rows: rows, Revision: 5})
+	r.Learn(4*time.Second, 4*time.Second, replica.FromMember{ID: "b", TableAge: -1}, 5, table.Snapshot{Revision: 5})
+	c.Assert(r.Fresh(4*time.Second), qt.IsFalse)
+	r.Learn(6*time.Second, 5*time.Second, replica.FromMember{ID: "c", TableAge: -1}, 5, table.Snapshot{Revision: 5})
+	c.Assert(r.FreshUntil(), qt.Equals, 7*time.Second)
+	applied, members := r.Progress(5)
+	c.Assert([]int{applied, members}, qt.DeepEquals, []int{3, 5})
+}
+
+// TestAcceptedByEarlierSet guards against new members accepting a change without the members of a set
+// that is still in use, who keep each other fresh.
+func TestAcceptedByEarlierSet(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New("d", "g", 3*time.Second)
+	rows := []table.Row{memberRow("a", 1), memberRow("b", 2), memberRow("c", 3),
+		memberRow("d", 4), memberRow("e", 5), memberRow("f", 6), memberRow("g", 7)}
+	r.Learn(0, 0, replica.FromTable{}, 0, table.Snapshot{Rows: rows, Revision: 8})
+	for _, id := range []string{"e", "f", "g"} {
+		r.Acked(id, 8)
+	}
+	c.Assert(r.Accepted(8), qt.IsFalse)
+	r.Settle(7)
+	c.Assert(r.Accepted(8), qt.IsTrue)
+}
+
+// TestViewLookup guards against wrong lookups, lost tombstones and rows that stop the view.
+func TestViewLookup(t *testing.T) {
+	c := qt.New(t)
+	services := []route.Route{
+		{Name: "short", Kind: route.Service, Prefix: "/tags", Pool: "p"},
+		{Name: "long", Kind: route.Service, Prefix: "/tags/old/", Pool: "p"},
+	}
+	rows := []table.Row{
+		{Key: replica.KeyForAccount("x"), Value: replica.EncodeAccount(account.Account{Name: "x", Rate: 1}), Revision: 1},
+		{Key: replica.KeyForRoute("short"), Value: replica.EncodeRoute(services[0]), Revision: 2},
+		{Key: replica.KeyForRoute("long"), Value: replica.EncodeRoute(services[1]), Revision: 3},
+		{Key: replica.KeyForPool("bad"), Value: []byte(`{"name":`), Revision: 4},
+		{Key: replica.KeyForShare("x"), Value: []byte(`{"parts":[{"host":"a","part":0.8},{"host":"b","part":0.8}]}`), Revision: 4},
+		{Key: "fleet/future/x", Value: []byte("?"), Revision: 5},
+	}
+	v := replica.NewView().With(rows, 5)
+	_, found := v.ShareOf("x")
+	c.Assert(found, qt.IsFalse)
+	c.Assert(v.Broken(), qt.HasLen, 2)
+	c.Assert(v.RowsAfter(3), qt.HasLen, 3)
+	c.Assert(v.RevisionOf(replica.KeyForPool("bad")), qt.Equals, int64(4))
+	for path, want := range map[string]string{"/tags": "short", "/tags/7": "short", "/tags/old/7": "long", "/tagsx": ""} {
+		r, _ := v.RouteByPath(path)
+		c.Assert(r.Name, qt.Equals, want, qt.Commentf("path %s", path))
+	}
+	gone := table.Row{Key: replica.KeyForAccount("x"), Value: replica.EncodeGone(), Revision: 6}
+	later := v.With([]table.Row{gone}, 6)
+	_, found = later.AccountByName("x")
+	c.Assert(found, qt.IsFalse)
+	c.Assert(later.RowsAfter(5), qt.DeepEquals, []table.Row{gone})
+	_, found = later.With(rows, 5).AccountByName("x")
+	c.Assert(found, qt.IsFalse)
+	_, found = v.AccountByName("x")
+	c.Assert(found, qt.IsTrue)
+}
