endpoint: add the view of endpoints and the choice among them

Hosts need a choice whose cost does not grow with the number of endpoints. Each model, adapter and version has a ring of its holders; a choice looks at up to ten of them: four neighbours of the prefix and samples of three rings. Leaving endpoints are in no ring, ejected ones are used only for a probe or when no other holder is left.

--- /dev/null
+++ b/endpoint/view_test.go
@@ -0,0 +1,225 @@
+package endpoint
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func pair() *View {
+	v := New(Settings{Seed: 1})
+	v.SetEndpoints(0, []Endpoint{
+		{Name: "a", Pool: "p", Domain: "x", Slots: 4},
+		{Name: "b", Pool: "p", Domain: "y", Slots: 4},
+	})
+	for _, name := range []string{"a", "b"} {
+		v.SetHolding(name, []Holding{{Model: "m", Version: "1"}})
+	}
+	return v
+}
+
+func name(v *View, now time.Duration, w Want) string {
+	i, ok := v.Pick(now, w)
+	if !ok {
+		return ""
+	}
+	return v.At(i).Name
+}
+
+func failAll(v *View, now time.Duration, i, times int) {
+	for range times {
+		v.Start(now, i, 1)
+		v.Finish(now, i, 1, Failed)
+	}
+}
+
+// Guards against choices that ignore load, distance, residency or state.
+func TestPickChoosesEndpoint(t *testing.T) {
+	m := Want{Model: "m", Pool: "p"}
+	for what, test := range map[string]struct {
+		change func(v *View)
+		want   Want
+		name   string
+	}{
+		"own failure domain": {func(*View) {}, Want{Model: "m", Domain: "y"}, "b"},
+		"own calls":          {func(v *View) { v.Start(0, 0, 1) }, m, "b"},
+		"own tokens":         {func(v *View) { v.Start(0, 0, 9000); v.Start(0, 1, 1) }, m, "b"},
+		"report":             {func(v *View) { v.SetReport(0, "a", Report{Running: 2}) }, m, "b"},
+		"adapter": {func(v *View) {
+			v.SetHolding("b", []Holding{{Model: "m", Version: "1", Adapters: []string{"ad"}}})
+		}, Want{Model: "m", Adapter: "ad", Domain: "x"}, "b"},
+		"version":            {func(v *View) { v.SetHolding("b", []Holding{{Model: "m", Version: "2"}}) }, Want{Model: "m", Version: "2", Domain: "x"}, "b"},
+		"version not held":   {func(*View) {}, Want{Model: "m", Version: "9", Domain: "x"}, "a"},
+		"leaving":            {func(v *View) { v.SetLeaving("a", true) }, Want{Model: "m", Domain: "x"}, "b"},
+		"all leaving":        {func(v *View) { v.SetLeaving("a", true); v.SetLeaving("b", true) }, m, ""},
+		"excluded":           {func(*View) {}, Want{Model: "m", Domain: "x", Exclude: []int{0}}, "b"},
+		"ejected":            {func(v *View) { failAll(v, 0, 0, 5) }, Want{Model: "m", Domain: "x"}, "b"},
+		"last not ejected":   {func(v *View) { v.SetLeaving("b", true); failAll(v, 0, 0, 50) }, m, "a"},
+		"last holder stays":  {func(v *View) { v.SetHolding("b", nil); failAll(v, 0, 0, 50) }, m, "a"},
+		"service":            {func(v *View) { v.SetLeaving("a", true) }, Want{Pool: "p"}, "b"},
+		"unknown model":      {func(*View) {}, Want{Model: "n"}, ""},
+		"other pool":         {func(*View) {}, Want{Model: "m", Pool: "q"}, ""},
+		"named, no reporter": {func(v *View) { v.SetNamed("p", []string{"n"}) }, Want{Model: "n"}, ""},
+		"removed":            {func(v *View) { v.SetEndpoints(0, []Endpoint{{Name: "b", Pool: "p", Slots: 4}}) }, Want{Model: "m", Domain: "x"}, "b"},
+	} {
+		t.Run(what, func(t *testing.T) {
+			v := pair()
+			test.change(v)
+			qt.Assert(t, name(v, 0, test.want), qt.Equals, test.name)
+		})
+	}
+}
+
+// Guards against models that cannot be reached before the first report, and
+// against calls to an endpoint that reported that it does not hold them.
+func TestNamedModelIsReachableUntilReported(t *testing.T) {
+	v := pair()
+	v.SetEndpoints(0, []Endpoint{{Name: "a", Pool: "p", Slots: 4}, {Name: "c", Pool: "p", Slots: 4}})
+	v.SetNamed("p", []string{"n"})
+	qt.Assert(t, name(v, 0, Want{Model: "n", Pool: "p"}), qt.Equals, "c")
+	v.SetHolding("a", []Holding{{Model: "n"}})
+	qt.Assert(t, name(v, 0, Want{Model: "n"}), qt.Equals, "a")
+	v.SetHolding("a", nil)
+	v.SetHolding("c", nil)
+	qt.Assert(t, name(v, 0, Want{Model: "n"}), qt.Equals, "")
+}
+
+// Guards against more calls than slots, against own work counted twice, and
+// against a stale report that keeps callers queueing.
+func TestPickLimitsCalls(t *testing.T) {
+	v := pair()
+	v.SetLeaving("b", true)
+	for range 3 {
+		v.Start(0, 0, 1)
+	}
+	v.SetReport(time.Second, "a", Report{Running: 3, Taken: time.Second})
+	qt.Assert(t, name(v, time.Second, Want{Model: "m"}), qt.Equals, "a")
+	v.SetReport(time.Second, "a", Report{Running: 4, Taken: time.Second})
+	qt.Assert(t, name(v, time.Second, Want{Model: "m"}), qt.Equals, "")
+	qt.Assert(t, name(v, 5*time.Second, Want{Model: "m"}), qt.Equals, "a")
+	v.Start(5*time.Second, 0, 1)
+	qt.Assert(t, name(v, 5*time.Second, Want{Model: "m"}), qt.Equals, "")
+}
+
+// Guards against several probes at once and against a hold time that does not grow.
+func TestEjectedEndpointGetsOneProbe(t *testing.T) {
+	v := pair()
+	failAll(v, 0, 0, 5)
+	w := Want{Model: "m", Domain: "y"}
+	now := time.Duration(0)
+	for _, hold := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		qt.Assert(t, name(v, now+hold-1, w), qt.Equals, "b")
+		now += hold
+		qt.Assert(t, name(v, now, w), qt.Equals, "a")
+		v.Start(now, 0, 1)
+		qt.Assert(t, name(v, now, w), qt.Equals, "b")
+		v.Finish(now, 0, 1, Failed)
+	}
+	now += 8 * time.Second
+	v.Start(now, 0, 1)
+	v.Finish(now, 0, 1, Done)
+	qt.Assert(t, name(v, now, Want{Model: "m", Domain: "x"}), qt.Equals, "a")
+}
+
+// Guards against prefixes that move when an unrelated endpoint leaves. Only
+// those with the leaving endpoint among their neighbours may: 500 * 4/170
+// on average, a quarter of which prefer the new neighbour.
+func TestPrefixKeepsEndpoint(t *testing.T) {
+	v := fleet(170, 20)
+	for e := range 170 {
+		v.SetReport(0, fmt.Sprint("e", e), Report{})
+	}
+	before := make(map[uint64]int)
+	for prefix := uint64(1); prefix <= 500; prefix++ {
+		before[prefix], _ = v.Pick(0, Want{Model: "m0", Prefix: prefix})
+	}
+	v.SetLeaving("e0", true)
+	moved := 0
+	for prefix, i := range before {
+		if now, _ := v.Pick(0, Want{Model: "m0", Prefix: prefix}); now != i && i != 0 {
+			moved++
+		}
+	}
+	qt.Assert(t, moved <= 12, qt.IsTrue, qt.Commentf("%d moved", moved))
+}
+
+// Guards against retries that multiply a failure's load.
+func TestRetryBudgetIsATenth(t *testing.T) {
+	v := pair()
+	allowed := 0
+	for range 1000 {
+		v.Start(0, 0, 1)
+		v.Finish(0, 0, 1, Failed)
+		if v.AllowRetry(0) {
+			v.Start(0, 0, 1)
+			v.Finish(0, 0, 1, Failed)
+			allowed++
+		}
+	}
+	qt.Assert(t, allowed >= 95 && allowed <= 102, qt.IsTrue, qt.Commentf("%d", allowed))
+	qt.Assert(t, v.AllowRetry(time.Hour), qt.IsTrue)
+}
+
+// Guards against counters lost, or given to another endpoint, when the tables change during a call.
+func TestCountersSurviveChange(t *testing.T) {
+	v := pair()
+	v.Start(0, 0, 1)
+	v.SetEndpoints(0, []Endpoint{{Name: "b", Pool: "p", Slots: 4}})
+	v.SetEndpoints(0, []Endpoint{{Name: "b", Pool: "p", Slots: 4}, {Name: "c", Pool: "p", Slots: 4}})
+	qt.Assert(t, v.At(0).Name, qt.Equals, "a")
+	v.Finish(0, 0, 1, Done)
+	qt.Assert(t, v.entries[2].calls, qt.Equals, 0)
+	v.SetEndpoints(0, []Endpoint{{Name: "d", Pool: "p", Slots: 4}})
+	qt.Assert(t, v.At(0).Name, qt.Equals, "d")
+	qt.Assert(t, name(v, 0, Want{Pool: "p"}), qt.Equals, "d")
+}
+
+func fleet(endpoints, models int) *View {
+	v := New(Settings{Seed: 1})
+	var list []Endpoint
+	for e := range endpoints {
+		list = append(list, Endpoint{Name: fmt.Sprint("e", e), Pool: "p", Domain: fmt.Sprint("d", e%9), Slots: 16})
+	}
+	v.SetEndpoints(0, list)
+	for e := range endpoints {
+		var holding []Holding
+		for m := range models {
+			if m == 0 || m%endpoints == e || (m+1)%endpoints == e {
+				holding = append(holding, Holding{Model: fmt.Sprint("m", m), Version: "1", Adapters: []string{"a"}})
+			}
+		}
+		v.SetHolding(list[e].Name, holding)
+		v.SetReport(0, list[e].Name, Report{Running: e % 7})
+	}
+	return v
+}
+
+// Guards against a choice that allocates.
+func TestPickDoesNotAllocate(t *testing.T) {
+	v := fleet(170, 20)
+	w := Want{Model: "m0", Adapter: "a", Version: "1", Pool: "p", Prefix: 7, Domain: "d1", Tokens: 256, Exclude: []int{3}}
+	qt.Assert(t, testing.AllocsPerRun(100, func() { v.Pick(0, w) }), qt.Equals, 0.0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, endpoints := range []int{4, 22, 170, 1700} {
+		for _, models := range []int{20, 870} {
+			b.Run(fmt.Sprintf("endpoints=%d/models=%d", endpoints, models), func(b *testing.B) {
+				v := fleet(endpoints, models)
+				w := Want{Model: "m0", Adapter: "a", Version: "1", Pool: "p", Domain: "d1", Tokens: 256}
+				b.ReportAllocs()
+				for n := 0; b.Loop(); n++ {
+					w.Prefix = uint64(n + 1)
+					i, ok := v.Pick(time.Second, w)
+					if !ok {
+						b.Fatal("no endpoint")
+					}
+					v.Start(time.Second, i, 256)
+					v.Finish(time.Second, i, 256, Done)
+				}
+			})
+		}
+	}
+}
