table, fault, faketable, fakeengine, fakeservice: add client and stand-ins

Cause: hosts need the table service's client, and tests need services and engines that fail on demand. The stand-ins share the set of faults of package fault. The engine generates text derived from the request and carries out orders within its memory.

--- /dev/null
+++ b/fakeengine/engine_test.go
@@ -0,0 +1,227 @@
+package fakeengine_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/document"
+	"magnoliahoist/fakeengine"
+	"magnoliahoist/fault"
+)
+
+type engine struct {
+	*fakeengine.Engine
+	url string
+}
+
+func start(t testing.TB, s fakeengine.Settings) engine {
+	if s.Memory == 0 {
+		s.Memory = 100
+	}
+	if s.Resident == nil {
+		s.Resident = []fakeengine.Resident{
+			{Kind: fakeengine.Model, Name: "m", Version: "1", Memory: 40},
+			{Kind: fakeengine.Adapter, Name: "a", Model: "m", Version: "1", Memory: 10},
+		}
+	}
+	e := fakeengine.New(s)
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(func() {
+		e.Stop()
+		server.Close()
+	})
+	return engine{e, server.URL}
+}
+
+func (e engine) post(ctx context.Context, path, body string, header ...string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.url+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return http.DefaultClient.Do(r)
+}
+
+// call returns the status and the text of the answer; status 0 means that the connection broke.
+func (e engine) call(path, body string, header ...string) (int, string) {
+	response, err := e.post(context.Background(), path, body, header...)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, string(data)
+	}
+	return response.StatusCode, string(data)
+}
+
+// read returns the text of a stream's events, the last id, and whether [DONE] was among them.
+func read(stream string) (text, id string, done bool) {
+	scanner := bufio.NewScanner(strings.NewReader(stream))
+	for scanner.Scan() {
+		if rest, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			id = rest
+		}
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var body struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		if json.Unmarshal([]byte(data), &body) == nil {
+			text += body.Choices[0].Text + body.Choices[0].Delta.Content
+		}
+	}
+	return text, id, done
+}
+
+// Guards against answers that a test could not tell from those to another request.
+func TestAnswers(t *testing.T) {
+	c := qt.New(t)
+	e := start(t, fakeengine.Settings{})
+	chat := fakeengine.ChatPrompt([]fakeengine.Message{{Role: "user", Content: "stop 3"}})
+	cases := map[string]struct{ path, body, text string }{
+		"completion": {"/v1/completions", `{"model":"m","prompt":"p","max_tokens":5}`, fakeengine.Text("m", "", "p", 5)},
+		"adapter":    {"/v1/completions", `{"model":"m","adapter":"a","prompt":"p","max_tokens":5}`, fakeengine.Text("m", "a", "p", 5)},
+		"its name":   {"/v1/completions", `{"model":"a","prompt":"p","max_tokens":5}`, fakeengine.Text("m", "a", "p", 5)},
+		"chat":       {"/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"stop 3"}],"max_tokens":5}`, fakeengine.Text("m", "", chat, 3)},
+	}
+	for name, test := range cases {
+		c.Run(name, func(c *qt.C) {
+			status, body := e.call(test.path, test.body)
+			c.Assert(status, qt.Equals, http.StatusOK)
+			c.Assert(body, qt.Contains, quoted(test.text))
+			status, body = e.call(test.path, strings.Replace(test.body, "{", `{"stream":true,`, 1), "X-Request-Id", name)
+			c.Assert(status, qt.Equals, http.StatusOK)
+			text, id, done := read(body)
+			c.Assert(text, qt.Equals, test.text)
+			c.Assert(strings.HasPrefix(id, name+":"), qt.IsTrue)
+			c.Assert(done, qt.IsTrue)
+		})
+	}
+	status, _ := e.call("/v1/completions", `{"model":"none","prompt":"p"}`)
+	c.Assert(status, qt.Equals, http.StatusNotFound)
+}
+
+func quoted(text string) string {
+	data, _ := json.Marshal(text)
+	return string(data)
+}
+
+// Guards against a resumed stream that repeats or leaves out tokens.
+func TestResume(t *testing.T) {
+	c := qt.New(t)
+	e := start(t, fakeengine.Settings{PerToken: time.Millisecond})
+	e.Faults.Replace(fault.Faults{CutStream: 1})
+	const body = `{"model":"m","prompt":"p","max_tokens":9,"stream":true}`
+	status, part := e.call("/v1/completions", body, "X-Request-Id", "one")
+	c.Assert(status, qt.Equals, 0)
+	before, last, done := read(part)
+	c.Assert(done, qt.IsFalse)
+	c.Assert(before, qt.Not(qt.Equals), "")
+	status, rest := e.call("/v1/completions", body, "X-Request-Id", "two", "Last-Event-ID", last)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	after, last, done := read(rest)
+	c.Assert(before+after, qt.Equals, fakeengine.Text("m", "", "p", 9))
+	c.Assert(last, qt.Equals, "one:11")
+	c.Assert(done, qt.IsTrue)
+	status, _ = e.call("/v1/completions", strings.Replace(body, `"p"`, `"q"`, 1), "Last-Event-ID", last)
+	c.Assert(status, qt.Equals, http.StatusConflict)
+	status, _ = e.call("/v1/completions", body, "Last-Event-ID", "none:1")
+	c.Assert(status, qt.Equals, http.StatusGone)
+}
+
+func until(c *qt.C, holds func() bool) {
+	for range 500 {
+		if holds() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	c.Fatal("condition was not reached")
+}
+
+// Guards against a slot that stays taken after its caller has gone, and against waiting requests
+// being admitted out of order.
+func TestSlots(t *testing.T) {
+	c := qt.New(t)
+	e := start(t, fakeengine.Settings{Slots: 1, FirstToken: time.Hour})
+	load := func(running, waiting int) func() bool {
+		return func() bool {
+			report := e.Load()
+			return report.Running == running && report.Waiting == waiting
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 3)
+	send := func(ctx context.Context, id, priority string) {
+		if response, err := e.post(ctx, "/v1/completions", `{"model":"m","prompt":"`+id+`"}`, "X-Request-Id", id, "X-Priority", priority); err == nil {
+			response.Body.Close()
+		}
+		ended <- struct{}{}
+	}
+	go send(ctx, "first", "0")
+	until(c, load(1, 0))
+	gone, leave := context.WithCancel(context.Background())
+	go send(gone, "gone", "9")
+	until(c, load(1, 1))
+	leave()
+	until(c, load(1, 0))
+	later, end := context.WithCancel(context.Background())
+	go send(later, "second", "1")
+	until(c, load(1, 1))
+	cancel()
+	until(c, load(1, 0))
+	end()
+	until(c, load(0, 0))
+	for range 3 {
+		<-ended
+	}
+	c.Assert(e.Requests()[0].ID, qt.Equals, "first")
+}
+
+// Guards against a key reaching the record unseen: headers are recorded as they arrive.
+func TestRequests(t *testing.T) {
+	c := qt.New(t)
+	e := start(t, fakeengine.Settings{})
+	e.call("/v1/completions", `{"model":"m","prompt":"p","max_tokens":4}`, "Authorization", "Bearer k", "X-Request-Id", "r")
+	response, err := http.Get(e.url + "/debug/requests")
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	var records []fakeengine.Record
+	c.Assert(json.NewDecoder(response.Body).Decode(&records), qt.IsNil)
+	c.Assert(records, qt.HasLen, 1)
+	c.Assert(records[0].Headers.Get("Authorization"), qt.Equals, "Bearer k")
+	c.Assert(records[0].Tokens, qt.Equals, int64(4))
+}
+
+// Guards against a swapped answer that looks like the caller's own.
+func TestSwap(t *testing.T) {
+	c := qt.New(t)
+	e := start(t, fakeengine.Settings{})
+	e.Faults.Replace(fault.Faults{SwapReply: 1, Slow: document.Duration(time.Millisecond)})
+	response, err := e.post(context.Background(), "/v1/completions", `{"model":"m","prompt":"p"}`, "X-Request-Id", "r")
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	c.Assert(response.Header.Get("X-Request-Id"), qt.Not(qt.Equals), "r")
+}
--- /dev/null
+++ b/fakeengine/kind.go
@@ -0,0 +1,29 @@
+package fakeengine
+
+import "github.com/juju/errors"
+
+//go:generate go tool stringer -type Kind -linecomment
+
+// Kind is what an order loads or unloads.
+type Kind int
+
+// The kinds.
+const (
+	Model   Kind = iota // model
+	Adapter             // adapter
+	Role                // role
+)
+
+// MarshalText writes the kind's name.
+func (k Kind) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
+
+// UnmarshalText reads a kind's name.
+func (k *Kind) UnmarshalText(text []byte) error {
+	for _, kind := range []Kind{Model, Adapter, Role} {
+		if kind.String() == string(text) {
+			*k = kind
+			return nil
+		}
+	}
+	return errors.Errorf("kind %q is not one of model, adapter, role", text)
+}
