table: add Batcher; faketable: keep rows by segment

Cause: at-most-once calls write rows one by one, and the table service accepts several hundred writes a second. A merged transaction that fails by its condition or as invalid is committed one by one. The stand-in reads a prefix without passing over the rows of other segments. A 400 is an ErrNotSent.

--- a/faketable/store.go
+++ b/faketable/store.go
@@ -2,21 +2,41 @@
 
 import (
 	"sort"
+	"strings"
 	"sync"
 
 	"github.com/juju/errors"
 )
 
-// store is the table itself: every commit that writes raises the revision by one.
+// store is the table itself: every commit that writes raises the revision by one. Rows are kept by
+// the part of the key up to the first slash, so that a read of fleet/ does not pass over every call/.
 type store struct {
 	mutex    sync.Mutex
 	revision int64
-	rows     map[string]row
+	rows     map[string]map[string]row
 }
 
 func newStore() *store {
 	// etcd's first revision is 1, so that 0 is that of an absent row.
-	return &store{revision: 1, rows: map[string]row{}}
+	return &store{revision: 1, rows: map[string]map[string]row{}}
+}
+
+func segmentOf(key string) string {
+	return key[:strings.IndexByte(key, '/')+1]
+}
+
+// segments returns the segments in which keys of the range can be.
+func (s *store) segments(first, end []byte) []string {
+	one := segmentOf(string(first))
+	last := strings.TrimSuffix(one, "/") + string(rune('/'+1))
+	if len(end) == 0 || one != "" && string(end) != "\x00" && string(end) <= last {
+		return []string{one}
+	}
+	all := make([]string, 0, len(s.rows))
+	for segment := range s.rows {
+		all = append(all, segment)
+	}
+	return all
 }
 
 func inRange(key string, first, end []byte) bool {
@@ -33,9 +53,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	answer := rangeAnswer{Header: header{s.revision}}
-	for key, one := range s.rows {
-		if inRange(key, r.Key, r.End) && one.Mod >= r.MinRevision {
-			answer.Rows = append(answer.Rows, one)
+	for _, segment := range s.segments(r.Key, r.End) {
+		for key, one := range s.rows[segment] {
+			if inRange(key, r.Key, r.End) && one.Mod >= r.MinRevision {
+				answer.Rows = append(answer.Rows, one)
+			}
 		}
 	}
 	sort.Slice(answer.Rows, func(i, j int) bool { return string(answer.Rows[i].Key) < string(answer.Rows[j].Key) })
@@ -48,7 +70,7 @@
 	defer s.mutex.Unlock()
 	answer := txnAnswer{Succeeded: true}
 	for _, c := range txn.Compare {
-		if s.rows[string(c.Key)].Mod != c.Revision {
+		if s.row(string(c.Key)).Mod != c.Revision {
 			answer.Succeeded = false
 		}
 	}
@@ -59,22 +81,32 @@
 	return answer
 }
 
+func (s *store) row(key string) row { return s.rows[segmentOf(key)][key] }
+
+func (s *store) put(key string, one row) {
+	segment := segmentOf(key)
+	if s.rows[segment] == nil {
+		s.rows[segment] = map[string]row{}
+	}
+	s.rows[segment][key] = one
+}
+
 func (s *store) apply(operations []operation) {
 	next, changed := s.revision+1, false
 	for _, o := range operations {
 		if o.Put != nil {
 			key := string(o.Put.Key)
-			old, exists := s.rows[key]
+			old := s.row(key)
 			one := row{Key: o.Put.Key, Value: o.Put.Value, Create: next, Mod: next, Version: old.Version + 1}
-			if exists {
+			if old.Version > 0 {
 				one.Create = old.Create
 			}
-			s.rows[key] = one
+			s.put(key, one)
 			changed = true
 			continue
 		}
 		for _, key := range s.keys(o.Delete) {
-			delete(s.rows, key)
+			delete(s.rows[segmentOf(key)], key)
 			changed = true
 		}
 	}
@@ -85,15 +117,17 @@
 
 func (s *store) keys(d *deleteRequest) []string {
 	if len(d.End) == 0 {
-		if _, exists := s.rows[string(d.Key)]; !exists {
+		if s.row(string(d.Key)).Version == 0 {
 			return nil
 		}
 		return []string{string(d.Key)}
 	}
 	var keys []string
-	for key := range s.rows {
-		if inRange(key, d.Key, d.End) {
-			keys = append(keys, key)
+	for _, segment := range s.segments(d.Key, d.End) {
+		for key := range s.rows[segment] {
+			if inRange(key, d.Key, d.End) {
+				keys = append(keys, key)
+			}
 		}
 	}
 	return keys
--- /dev/null
+++ b/table/batcher_test.go
@@ -0,0 +1,108 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"magnoliahoist/fault"
+	"magnoliahoist/table"
+)
+
+// commitAll commits the transactions at the same time through one batcher.
+func commitAll(client *table.Client, txns []table.Txn) ([]table.Result, []error) {
+	b := table.NewBatcher(client, len(txns), 20*time.Millisecond)
+	defer b.Stop()
+	results, failures := make([]table.Result, len(txns)), make([]error, len(txns))
+	var group sync.WaitGroup
+	for i, txn := range txns {
+		group.Go(func() { results[i], failures[i] = b.Commit(context.Background(), txn) })
+	}
+	group.Wait()
+	return results, failures
+}
+
+// Guards against a caller getting the outcome of another's transaction, and against merging that
+// does not lower the number of writes.
+func TestBatcher(t *testing.T) {
+	c := qt.New(t)
+	const callers = 20
+	distinct := func(i int) table.Txn { return create(fmt.Sprint("call/", i), "mine") }
+	cases := map[string]struct {
+		txn       func(i int) table.Txn
+		faults    fault.Faults
+		committed int
+		most      int64 // writes seen by the service
+		kind      error
+		errors    int
+	}{
+		"independent": {distinct, fault.Faults{}, callers, callers / 2, nil, 0},
+		"one fails alone": {func(i int) table.Txn {
+			if i == 7 {
+				return table.Txn{Compares: []table.Compare{{Key: "old", Revision: 99}}, Writes: put("old", "").Writes}
+			}
+			return distinct(i)
+		}, fault.Faults{}, callers - 1, 2 * callers, nil, 0},
+		"same row": {func(int) table.Txn { return create("call/one", "mine") }, fault.Faults{}, 1, callers, nil, 0},
+		"one invalid": {func(i int) table.Txn {
+			if i == 7 {
+				return table.Txn{Writes: []table.Write{{Key: "x"}, {Key: "x"}}}
+			}
+			return distinct(i)
+		}, fault.Faults{}, callers - 1, 2 * callers, table.ErrNotSent, 1},
+		"refused": {distinct, fault.Faults{Refuse: true}, 0, 0, table.ErrNotSent, callers},
+		"down":    {distinct, fault.Faults{Down: true}, 0, 0, table.ErrUnknown, callers},
+	}
+	for name, test := range cases {
+		c.Run(name, func(c *qt.C) {
+			client, fake := start(c.TB)
+			fake.Faults.Replace(test.faults)
+			txns := make([]table.Txn, callers)
+			for i := range txns {
+				txns[i] = test.txn(i)
+			}
+			results, failures := commitAll(client, txns)
+			fake.Faults.Replace(fault.Faults{})
+			writes := fake.Count().Writes
+			c.Assert(writes <= test.most, qt.IsTrue, qt.Commentf("%d writes", writes))
+			committed, failed := 0, 0
+			for i, result := range results {
+				if failures[i] != nil {
+					failed++
+					c.Assert(errors.Is(failures[i], test.kind), qt.IsTrue, qt.Commentf("%v", failures[i]))
+					continue
+				}
+				if !result.Committed {
+					continue
+				}
+				committed++
+				snapshot, err := client.Read(context.Background(), txns[i].Writes[0].Key, 0)
+				c.Assert(err, qt.IsNil)
+				c.Assert(snapshot.Rows[0].Revision, qt.Equals, result.Revision)
+			}
+			c.Assert(committed, qt.Equals, test.committed)
+			c.Assert(failed, qt.Equals, test.errors)
+		})
+	}
+}
+
+// Guards against a write that its caller was told is not carried out.
+func TestBatcherLeave(t *testing.T) {
+	c := qt.New(t)
+	client, fake := start(t)
+	b := table.NewBatcher(client, 10, 30*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err := b.Commit(ctx, create("a", ""))
+	c.Assert(errors.Is(err, table.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+	b.Stop()
+	<-b.Done()
+	c.Assert(fake.Count().Writes, qt.Equals, int64(0))
+	_, err = b.Commit(context.Background(), create("a", ""))
+	c.Assert(errors.Is(err, table.ErrNotSent), qt.IsTrue)
+}
--- a/table/client.go
+++ b/table/client.go
@@ -17,6 +17,9 @@
 // maxAnswer is the most bytes read of one answer; the whole table at the target size is below it.
 const maxAnswer = 256 << 20
 
+// errInvalid is the cause of the ErrNotSent of a request that the service does not accept.
+const errInvalid = errors.ConstError("the service refused the request as invalid")
+
 // Client calls one table service; it is safe for concurrent use.
 type Client struct {
 	base   string
@@ -68,11 +71,16 @@
 		if !sent {
 			kind = ErrNotSent
 		}
-		return Result{}, fmt.Errorf("table: unable to commit: %w: %w", kind, err)
+		return Result{}, outcome(kind, err)
 	}
 	return Result{Committed: answer.Succeeded, Revision: answer.Header.Revision}, nil
 }
 
+// outcome returns an error that is both the kind, ErrNotSent or ErrUnknown, and the cause.
+func outcome(kind, cause error) error {
+	return fmt.Errorf("table: unable to commit: %w: %w", kind, cause)
+}
+
 // call posts the request; sent is false only when the service certainly did not carry it out.
 func (c *Client) call(ctx context.Context, path string, request, answer any) (sent bool, err error) {
 	body, err := json.Marshal(request)
@@ -95,9 +103,12 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if response.StatusCode == http.StatusBadRequest {
+		return false, fmt.Errorf("%w: %.200s", errInvalid, data)
+	}
 	if response.StatusCode != http.StatusOK {
-		refused := response.StatusCode == http.StatusBadRequest || response.Header.Get("X-Run") == "no"
-		return !refused, errors.Errorf("the service answered %s: %.200s", response.Status, data)
+		promised := response.Header.Get("X-Run") == "no"
+		return !promised, errors.Errorf("the service answered %s: %.200s", response.Status, data)
 	}
 	if err != nil {
 		return true, err
--- a/table/client_test.go
+++ b/table/client_test.go
@@ -12,8 +12,8 @@
 	"github.com/juju/errors"
 
 	"magnoliahoist/document"
-	"magnoliahoist/fault"
 	"magnoliahoist/faketable"
+	"magnoliahoist/fault"
 	"magnoliahoist/table"
 )
 
