--- a/fault/set.go
+++ b/fault/set.go
@@ -16,6 +16,7 @@
 
 // Set is the set of faults of one stand-in, safe for concurrent use.
 type Set struct {
+	order  sync.Mutex // held over a replacement, so that watchers see replacements in order
 	mutex  sync.Mutex
 	faults Faults
 	watch  []func(Faults)
@@ -26,6 +27,8 @@
 
 // Replace puts the faults in force and ends those that were set before.
 func (s *Set) Replace(f Faults) {
+	s.order.Lock()
+	defer s.order.Unlock()
 	s.mutex.Lock()
 	s.faults = f
 	watch := s.watch
@@ -35,7 +38,7 @@
 	}
 }
 
-// Watch calls the function after every replacement.
+// Watch calls the function after every replacement; it must not replace the faults itself.
 func (s *Set) Watch(changed func(Faults)) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
