fakehosts, fakeweights: add the host list and the weight store

Cause: hosts read a lagging list of live and leaving hosts, and loads are limited by the weight store's rate and concurrency. Tests cover the engine's cache events and its fetch of weights.

--- /dev/null
+++ b/fakeengine/events_test.go
@@ -0,0 +1,52 @@
+package fakeengine_test
+
+import (
+	"bufio"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/fakeengine"
+	"magnoliahoist/fakeweights"
+	"magnoliahoist/fault"
+)
+
+// Guards against lost cache events that leave no gap in the numbers.
+func TestEvents(t *testing.T) {
+	c := qt.New(t)
+	e := start(t, fakeengine.Settings{})
+	const body = `{"model":"m","prompt":"p","max_tokens":1}`
+	e.call("/v1/completions", body)
+	e.Faults.Replace(fault.Faults{LoseEvent: 1})
+	e.call("/v1/completions", body)
+	e.call("/v1/completions", body)
+	response, err := http.Get(e.url + "/v2/cache/events?after=0")
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	var ids []string
+	for scanner := bufio.NewScanner(response.Body); len(ids) < 2 && scanner.Scan(); {
+		if id, ok := strings.CutPrefix(scanner.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	c.Assert(ids, qt.DeepEquals, []string{"1", "3"})
+}
+
+// Guards against a model that becomes resident without its weights.
+func TestWeights(t *testing.T) {
+	c := qt.New(t)
+	store := fakeweights.New(fakeweights.Settings{})
+	server := httptest.NewServer(store.Handler())
+	defer server.Close()
+	defer store.Stop()
+	e := start(t, fakeengine.Settings{Weights: server.URL})
+	c.Assert(e.order("load", "n", "1", 1, 1, 10), qt.Equals, http.StatusOK)
+	c.Assert(store.Count().Loads, qt.Equals, int64(1))
+	store.Faults.Replace(fault.Faults{Down: true})
+	c.Assert(e.order("load", "o", "2", 1, 2, 10), qt.Equals, http.StatusBadGateway)
+	c.Assert(e.Memory().Used, qt.Equals, int64(60))
+	c.Assert(e.Load().Orders, qt.DeepEquals, []fakeengine.Done{{Order: "1", Result: "done"}, {Order: "2", Result: "failed"}})
+}
--- /dev/null
+++ b/fakehosts/state.go
@@ -0,0 +1,28 @@
+package fakehosts
+
+import "github.com/juju/errors"
+
+//go:generate go tool stringer -type State -linecomment
+
+// State is that of a host in the list.
+type State int
+
+// The states.
+const (
+	Live    State = iota // live
+	Leaving              // leaving
+)
+
+// MarshalText writes the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	for _, state := range []State{Live, Leaving} {
+		if state.String() == string(text) {
+			*s = state
+			return nil
+		}
+	}
+	return errors.Errorf("state %q is not one of live, leaving", text)
+}
