--- /dev/null
+++ b/timeline/text.go
@@ -0,0 +1,30 @@
+package timeline
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+)
+
+// WriteText writes the events for people, one a line.
+func WriteText(w io.Writer, events []Event) error {
+	out := bufio.NewWriter(w)
+	for _, e := range events {
+		fmt.Fprintf(out, "%s  %-12s %-9s", e.Stamp, e.Host, e.Kind)
+		for _, part := range []struct{ name, value string }{
+			{"request", e.Request}, {"attempt", e.Attempt}, {"endpoint", e.Endpoint}, {"account", e.Account}, {"order", e.Order},
+		} {
+			if part.value != "" {
+				fmt.Fprintf(out, " %s=%s", part.name, part.value)
+			}
+		}
+		if e.Change != 0 {
+			fmt.Fprintf(out, " change=%d", e.Change)
+		}
+		if e.Note != "" {
+			fmt.Fprintf(out, " %q", e.Note)
+		}
+		fmt.Fprintln(out)
+	}
+	return out.Flush()
+}
--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,144 @@
+package timeline_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"magnoliahoist/timeline"
+)
+
+// Guards against an effect before its cause in the merged order, with hosts' wall clocks
+// that are apart and go back, and with events that arrive twice.
+func TestPropertyCausesFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 4
+		var clocks [hosts]timeline.Clock
+		var rings [hosts]*timeline.Ring
+		names := []string{"d", "c", "b", "a"}
+		for i := range rings {
+			rings[i] = timeline.NewRing(1000)
+		}
+		var edges [][2]string
+		event := func(host int, at timeline.Stamp, id string) {
+			rings[host].Add(timeline.Event{Stamp: at, Host: names[host], Kind: timeline.Sent, Request: id})
+		}
+		wall := func() time.Time { return time.Unix(0, rapid.Int64Range(0, 50).Draw(t, "wall")) }
+		for n := range rapid.IntRange(1, 60).Draw(t, "messages") {
+			from, to := rapid.IntRange(0, hosts-1).Draw(t, "from"), rapid.IntRange(0, hosts-1).Draw(t, "to")
+			cause, effect := "c"+string(rune('0'+n)), "e"+string(rune('0'+n))
+			sent := clocks[from].Now(wall())
+			event(from, sent, cause)
+			event(to, clocks[to].Update(wall(), sent), effect)
+			edges = append(edges, [2]string{cause, effect})
+		}
+		var logs []timeline.Log
+		for i, ring := range rings {
+			logs = append(logs, timeline.Log{Host: names[i], Events: ring.After(0)}, timeline.Log{Host: names[i], After: 3, Events: ring.After(3)})
+		}
+		place := map[string]int{}
+		merged := timeline.Merge(logs)
+		for i, e := range merged {
+			place[e.Request] = i
+		}
+		if len(merged) != 2*len(edges) {
+			t.Fatalf("%d events of %d", len(merged), 2*len(edges))
+		}
+		for _, edge := range edges {
+			if place[edge[0]] >= place[edge[1]] {
+				t.Fatalf("%s is not before %s", edge[0], edge[1])
+			}
+		}
+	})
+}
+
+func sample() []timeline.Log {
+	ring := timeline.NewRing(2)
+	for i, kind := range []timeline.Kind{timeline.Joined, timeline.Received, timeline.Answered} {
+		ring.Add(timeline.Event{Stamp: timeline.Stamp{Wall: int64(i+1) * 1000}, Host: "h1", Kind: kind, Request: "r1"})
+	}
+	return []timeline.Log{
+		{Host: "h1", Events: ring.After(0), Ended: timeline.Stamp{Wall: 9000}},
+		{Host: "h2", Missing: "no answer"},
+	}
+}
+
+// Guards against a timeline that looks complete although events are missing.
+func TestGaps(t *testing.T) {
+	var out bytes.Buffer
+	events := timeline.Filter{Request: "r1"}.Select(timeline.Merge(sample()))
+	qt.Assert(t, timeline.WriteText(&out, events), qt.IsNil)
+	want := []string{`h2 .* gap .*no answer`, `h1 .* gap .*1 events before`, `h1 .* received .*request=r1`, `h1 .* answered .*`, `h1 .* gap .*the host ended`}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	qt.Assert(t, lines, qt.HasLen, len(want))
+	for i, line := range lines {
+		qt.Check(t, line, qt.Matches, ".*"+want[i]+".*")
+	}
+}
+
+// Guards against a gap reported where events were only not asked for.
+func TestMergePart(t *testing.T) {
+	events := timeline.Merge([]timeline.Log{{Host: "h", After: 6, Events: []timeline.Event{{Sequence: 7}}}})
+	qt.Assert(t, events, qt.HasLen, 1)
+}
+
+// Guards against a trace that viewers can't load: every record needs a phase, and spans pair up by id.
+func TestTrace(t *testing.T) {
+	var out bytes.Buffer
+	qt.Assert(t, timeline.WriteTrace(&out, timeline.Merge(sample())), qt.IsNil)
+	var trace struct {
+		TraceEvents []struct{ Name, Ph, ID string }
+	}
+	qt.Assert(t, json.Unmarshal(out.Bytes(), &trace), qt.IsNil)
+	open := map[string]int{}
+	for _, e := range trace.TraceEvents {
+		qt.Check(t, e.Ph, qt.Not(qt.Equals), "")
+		open[e.Ph+e.ID]++
+	}
+	qt.Check(t, open["br1"], qt.Equals, 1)
+	qt.Check(t, open["er1"], qt.Equals, 1)
+}
+
+// Guards against a ring that returns overwritten events or none after a wrap.
+func TestRing(t *testing.T) {
+	tests := map[string]struct {
+		size, add int
+		after     uint64
+		want      []uint64
+	}{
+		"empty":         {4, 0, 0, nil},
+		"part":          {4, 3, 1, []uint64{2, 3}},
+		"wrapped":       {4, 6, 0, []uint64{3, 4, 5, 6}},
+		"wrapped, part": {4, 6, 5, []uint64{6}},
+		"none newer":    {4, 6, 6, nil},
+		"beyond":        {4, 6, 1 << 63, nil},
+		"largest":       {4, 6, 1<<64 - 1, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ring := timeline.NewRing(test.size)
+			for range test.add {
+				ring.Add(timeline.Event{})
+			}
+			var got []uint64
+			for _, e := range ring.After(test.after) {
+				got = append(got, e.Sequence)
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// Guards against kinds that can't be read back.
+func TestKindText(t *testing.T) {
+	for kind := timeline.Received; kind <= timeline.Gap; kind++ {
+		var got timeline.Kind
+		qt.Assert(t, got.UnmarshalText([]byte(kind.String())), qt.IsNil)
+		qt.Assert(t, got, qt.Equals, kind)
+	}
+}
