operator: add the HTTP interface for operators and its client

An error of a change that doesn't promise that nothing happened is answered as unknown, so that X-Run: no stays true. The join of both tables is checked on the revision that the edit is based on; a host with an older copy refuses.

--- /dev/null
+++ b/operator/key.go
@@ -0,0 +1,90 @@
+package operator
+
+import (
+	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"goji.io/pat"
+
+	"magnoliahoist/account"
+	"magnoliahoist/document"
+)
+
+// maxLabel bounds the label of a key in bytes.
+const maxLabel = 200
+
+var digest = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Request is a request for a new key.
+type Request struct {
+	Account string `json:"account"`
+	Label   string `json:"label,omitempty"`
+}
+
+// Issued is a new key. Its text is in this answer only; the id is its digest.
+type Issued struct {
+	ID     string `json:"id"`
+	Key    string `json:"key"`
+	Change Change `json:"change"`
+}
+
+func (s *Server) issueKey(w http.ResponseWriter, r *http.Request) error {
+	data, err := read(w, r)
+	if err != nil {
+		return err
+	}
+	var request Request
+	if err := document.Decode(data, &request); err != nil {
+		return err
+	}
+	if err := s.checkRequest(r, request); err != nil {
+		return err
+	}
+	text := account.NewKey()
+	key := account.Key{Digest: account.Digest(text), Account: request.Account, Label: request.Label}
+	change, err := s.backend.IssueKey(r.Context(), key)
+	if err != nil {
+		return err
+	}
+	s.log.Info("operator: key issued", "digest", key.Digest, "account", key.Account)
+	return writeChange(w, change, http.StatusCreated, Issued{ID: key.Digest, Key: text, Change: change})
+}
+
+func (s *Server) checkRequest(r *http.Request, request Request) error {
+	routes, _, _, err := s.backend.Tables(r.Context())
+	if err != nil {
+		return &Failure{Status: http.StatusServiceUnavailable, Type: "unavailable", Message: err.Error(), Run: runNo}
+	}
+	var c document.Checker
+	known := slices.ContainsFunc(routes.Accounts, func(a account.Account) bool { return a.Name == request.Account })
+	c.Require(known, "account", request.Account, "an account of the routes table")
+	c.Require(len(request.Label) <= maxLabel, "label", request.Label, "up to "+strconv.Itoa(maxLabel)+" bytes")
+	return c.Err()
+}
+
+func (s *Server) listKeys(w http.ResponseWriter, r *http.Request) error {
+	keys, err := s.backend.Keys(r.Context())
+	if err != nil {
+		return err
+	}
+	if keys == nil {
+		keys = []account.Key{}
+	}
+	return write(w, http.StatusOK, map[string][]account.Key{"keys": keys})
+}
+
+func (s *Server) withdrawKey(w http.ResponseWriter, r *http.Request) error {
+	id := pat.Param(r, "id")
+	if !digest.MatchString(id) {
+		// The value is not repeated: it may be the key itself, pasted by mistake.
+		return document.Problems{{Path: "id", Value: "(hidden)", Allowed: "the id of a key, 64 hexadecimal digits"}}
+	}
+	change, err := s.backend.WithdrawKey(r.Context(), id)
+	if err != nil {
+		return err
+	}
+	s.log.Info("operator: key withdrawn", "digest", id, "revision", change.Revision, "accepted", change.Accepted)
+	return writeChange(w, change, http.StatusOK, change)
+}
--- /dev/null
+++ b/operator/query.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+
+	"magnoliahoist/document"
+	"magnoliahoist/timeline"
+)
+
+// queryOf reads the filter and the format of a timeline request. Unknown parameters are refused.
+func queryOf(values url.Values) (timeline.Filter, string, error) {
+	var (
+		f      timeline.Filter
+		c      document.Checker
+		format = "json"
+	)
+	for name, list := range values {
+		value := list[0]
+		c.Require(len(list) == 1 || name == "kind", name, list, "one value")
+		switch name {
+		case "host":
+			f.Host = value
+		case "request":
+			f.Request = value
+		case "endpoint":
+			f.Endpoint = value
+		case "account":
+			f.Account = value
+		case "order":
+			f.Order = value
+		case "change":
+			revision, err := strconv.ParseInt(value, 10, 64)
+			c.Require(err == nil, name, value, "a revision")
+			f.Change = revision
+		case "kind":
+			for _, text := range list {
+				var kind timeline.Kind
+				c.Require(kind.UnmarshalText([]byte(text)) == nil, name, text, "a kind of event")
+				f.Kinds = append(f.Kinds, kind)
+			}
+		case "since":
+			f.Since = stampOf(&c, name, value)
+		case "until":
+			f.Until = stampOf(&c, name, value)
+		case "format":
+			c.Require(value == "json" || value == "text" || value == "trace", name, value, "json, text or trace")
+			format = value
+		default:
+			c.Require(false, name, value, "host, request, endpoint, account, order, change, kind, since, until or format")
+		}
+	}
+	return f, format, c.Err()
+}
+
+func stampOf(c *document.Checker, name, value string) timeline.Stamp {
+	at, err := time.Parse(time.RFC3339Nano, value)
+	c.Require(err == nil, name, value, "a time as in RFC 3339")
+	if err != nil {
+		return timeline.Stamp{}
+	}
+	return timeline.Stamp{Wall: at.UnixNano()}
+}
+
+// queryFor writes a filter for a timeline request.
+func queryFor(f timeline.Filter, format string) url.Values {
+	values := url.Values{"format": {format}}
+	for name, value := range map[string]string{"host": f.Host, "request": f.Request, "endpoint": f.Endpoint, "account": f.Account, "order": f.Order} {
+		if value != "" {
+			values.Set(name, value)
+		}
+	}
+	if f.Change != 0 {
+		values.Set("change", strconv.FormatInt(f.Change, 10))
+	}
+	for _, kind := range f.Kinds {
+		values.Add("kind", kind.String())
+	}
+	if !f.Since.IsZero() {
+		values.Set("since", f.Since.Time().Format(time.RFC3339Nano))
+	}
+	if !f.Until.IsZero() {
+		values.Set("until", f.Until.Time().Format(time.RFC3339Nano))
+	}
+	return values
+}
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,89 @@
+package operator
+
+import (
+	"net/http"
+	"strconv"
+
+	"goji.io/pat"
+
+	"magnoliahoist/document"
+	"magnoliahoist/timeline"
+)
+
+// Health is the answer of /health.
+type Health struct {
+	State State `json:"state"`
+}
+
+// health answers 200 while the host takes calls, for the balancer. A host that drains
+// answers 503 from the start of the drain although it still takes calls.
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Cache-Control", "no-store")
+	status, err := s.backend.Status(r.Context())
+	if err != nil {
+		failureOf(err, false).write(w)
+		return
+	}
+	code := http.StatusOK
+	if status.State != Serving {
+		code = http.StatusServiceUnavailable
+	}
+	write(w, code, Health{State: status.State})
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) error {
+	status, err := s.backend.Status(r.Context())
+	if err != nil {
+		return err
+	}
+	return write(w, http.StatusOK, status)
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request) error {
+	text := pat.Param(r, "revision")
+	revision, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || revision < 1 {
+		return document.Problems{{Path: "revision", Value: strconv.Quote(text), Allowed: "a whole number, 1 or more"}}
+	}
+	change, err := s.backend.Change(r.Context(), revision)
+	if err != nil {
+		return err
+	}
+	return write(w, http.StatusOK, change)
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) error {
+	if err := s.backend.Drain(r.Context()); err != nil {
+		return err
+	}
+	s.log.Info("operator: drain started")
+	return write(w, http.StatusAccepted, Health{State: Draining})
+}
+
+// timeline answers with the merged events of all hosts. The query narrows them down;
+// format is json, text or trace.
+func (s *Server) timeline(w http.ResponseWriter, r *http.Request) error {
+	filter, format, err := queryOf(r.URL.Query())
+	if err != nil {
+		return err
+	}
+	logs, err := s.backend.Timeline(r.Context())
+	if err != nil {
+		return err
+	}
+	events := filter.Select(timeline.Merge(logs))
+	switch format {
+	case "text":
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		timeline.WriteText(w, events) // an error means that the operator has gone
+		return nil
+	case "trace":
+		w.Header().Set("Content-Type", "application/json")
+		timeline.WriteTrace(w, events) // an error means that the operator has gone
+		return nil
+	}
+	if events == nil {
+		events = []timeline.Event{}
+	}
+	return write(w, http.StatusOK, map[string][]timeline.Event{"events": events})
+}
--- /dev/null
+++ b/operator/table.go
@@ -0,0 +1,130 @@
+package operator
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"magnoliahoist/document"
+	"magnoliahoist/pool"
+	"magnoliahoist/route"
+)
+
+// etag writes a revision of the configuration as an entity tag.
+func etag(revision int64) string { return fmt.Sprintf(`"%d"`, revision) }
+
+func (s *Server) getRoutes(w http.ResponseWriter, r *http.Request) error {
+	routes, _, revision, err := s.backend.Tables(r.Context())
+	if err != nil {
+		return err
+	}
+	w.Header().Set("ETag", etag(revision))
+	return write(w, http.StatusOK, routes)
+}
+
+func (s *Server) getPools(w http.ResponseWriter, r *http.Request) error {
+	_, pools, revision, err := s.backend.Tables(r.Context())
+	if err != nil {
+		return err
+	}
+	w.Header().Set("ETag", etag(revision))
+	return write(w, http.StatusOK, pools)
+}
+
+func (s *Server) putRoutes(w http.ResponseWriter, r *http.Request) error {
+	edit, data, err := editOf(w, r, Routes)
+	if err != nil {
+		return err
+	}
+	if edit.Routes, err = route.Parse(data); err != nil {
+		return err
+	}
+	return s.edit(w, r, edit)
+}
+
+func (s *Server) putPools(w http.ResponseWriter, r *http.Request) error {
+	edit, data, err := editOf(w, r, Pools)
+	if err != nil {
+		return err
+	}
+	if edit.Pools, err = pool.Parse(data); err != nil {
+		return err
+	}
+	return s.edit(w, r, edit)
+}
+
+// editOf reads what all edits have in common.
+func editOf(w http.ResponseWriter, r *http.Request, kind Kind) (Edit, []byte, error) {
+	match := r.Header.Get("If-Match")
+	if match == "" {
+		return Edit{}, nil, &Failure{Status: http.StatusPreconditionRequired, Type: "precondition", Message: "the header If-Match is missing", Run: runNo}
+	}
+	revision, err := revisionOf(match)
+	if err != nil {
+		return Edit{}, nil, err
+	}
+	id := r.Header.Get("Idempotency-Key")
+	if id == "" {
+		id = rand.Text()
+	}
+	if !document.ValidName(id) {
+		return Edit{}, nil, document.Problems{{Path: "Idempotency-Key", Value: strconv.Quote(id), Allowed: document.AllowedName}}
+	}
+	w.Header().Set("Idempotency-Key", id)
+	data, err := read(w, r)
+	return Edit{Kind: kind, ETag: revision, ID: id}, data, err
+}
+
+// revisionOf reads one strong entity tag. "*" is refused, because it would undo the
+// protection against overwriting another operator's edit.
+func revisionOf(match string) (int64, error) {
+	text, quoted := strings.CutPrefix(match, `"`)
+	text, closed := strings.CutSuffix(text, `"`)
+	revision, err := strconv.ParseInt(text, 10, 64)
+	if !quoted || !closed || err != nil || revision < 0 {
+		return 0, document.Problems{{Path: "If-Match", Value: strconv.Quote(match), Allowed: "the entity tag of a table"}}
+	}
+	return revision, nil
+}
+
+// edit checks the join with the other table before it hands the edit on. When the
+// configuration has moved on, the backend finds a conflict or the outcome of an earlier
+// edit with the same id. A copy older than the edit's base can't check the join.
+func (s *Server) edit(w http.ResponseWriter, r *http.Request, edit Edit) error {
+	routes, pools, revision, err := s.backend.Tables(r.Context())
+	if err != nil {
+		return &Failure{Status: http.StatusServiceUnavailable, Type: "unavailable", Message: err.Error(), Run: runNo}
+	}
+	if revision < edit.ETag {
+		message := fmt.Sprintf("this host knows version %d only", revision)
+		return &Failure{Status: http.StatusServiceUnavailable, Type: "unavailable", Message: message, Run: runNo}
+	}
+	if revision == edit.ETag {
+		if edit.Kind == Routes {
+			routes = edit.Routes
+		} else {
+			pools = edit.Pools
+		}
+		if err := pool.CheckJoin(routes, pools); err != nil {
+			return err
+		}
+	}
+	change, err := s.backend.Edit(r.Context(), edit)
+	if err != nil {
+		return err
+	}
+	s.log.Info("operator: table edited", "table", edit.Kind, "edit", edit.ID, "revision", change.Revision, "accepted", change.Accepted)
+	w.Header().Set("ETag", etag(change.Revision))
+	return writeChange(w, change, http.StatusOK, change)
+}
+
+// writeChange answers with the status done if the change was accepted, or else as pending.
+func writeChange(w http.ResponseWriter, change Change, done int, body any) error {
+	if change.Accepted {
+		return write(w, done, body)
+	}
+	w.Header().Set("Location", fmt.Sprintf("/v1/changes/%d", change.Revision))
+	return write(w, http.StatusAccepted, body)
+}
