--- a/fakeengine/completion.go
+++ b/fakeengine/completion.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"magnoliahoist/fault"
 )
 
@@ -19,6 +21,9 @@
 // defaultTokens is what OpenAI's completions call generates when the caller names no number.
 const defaultTokens = 16
 
+// maxTokens bounds the length of an answer.
+const maxTokens = 1 << 20
+
 // call is the body of a completion or chat call.
 type call struct {
 	Model    string          `json:"model"`
@@ -65,6 +70,9 @@
 	if err == nil {
 		err = json.Unmarshal(data, &c)
 	}
+	if err == nil && c.most() > maxTokens {
+		err = errors.Errorf("more than %d tokens are asked for", maxTokens)
+	}
 	if err != nil {
 		(&problem{http.StatusBadRequest, badRequest, err.Error()}).write(w)
 		return
--- a/fakeengine/engine.go
+++ b/fakeengine/engine.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	goji "goji.io"
 	"goji.io/pat"
@@ -26,6 +27,7 @@
 	events      *events
 	generations *generations
 	requests    ring
+	keys        atomic.Int64
 
 	mutex   sync.Mutex
 	alive   context.Context // ends when Down is set, and with it every running request
@@ -73,7 +75,8 @@
 	e.alive, e.kill = context.WithCancel(e.part.Context())
 }
 
-// Handler answers callers, orders, reports and the faults.
+// Handler answers callers, orders, reports and the faults. The faults do not affect /debug and
+// PUT /v2/leaving, by which a test controls the engine.
 func (e *Engine) Handler() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Post("/v1/completions"), e.serveCompletion)
@@ -83,12 +86,14 @@
 	mux.HandleFunc(pat.Post("/v2/repository/index"), e.serveIndex)
 	mux.HandleFunc(pat.Post("/v2/fence"), e.serveFence)
 	mux.HandleFunc(pat.Get("/v2/load"), e.serveLoad)
-	mux.HandleFunc(pat.Put("/v2/leaving"), e.serveLeaving)
 	mux.HandleFunc(pat.Get("/v2/cache/events"), e.serveEvents)
 	outer := goji.NewMux()
 	outer.HandleFunc(pat.Get("/debug/requests"), func(w http.ResponseWriter, _ *http.Request) { answer(w, e.Requests()) })
 	outer.HandleFunc(pat.Get("/debug/memory"), func(w http.ResponseWriter, _ *http.Request) { answer(w, e.Memory()) })
-	outer.Handle(pat.New("/*"), e.Faults.Wrap(mux))
+	outer.HandleFunc(pat.Get("/debug/keys"), func(w http.ResponseWriter, _ *http.Request) { answer(w, map[string]int64{"keys": e.Keys()}) })
+	outer.HandleFunc(pat.Put("/v2/leaving"), e.serveLeaving)
+	outer.Use(e.countKeys)
+	outer.Handle(pat.New("/*"), e.Faults.Wrap(e.part.Context(), mux))
 	return outer
 }
 
@@ -104,6 +109,21 @@
 // Requests returns the last requests of callers, oldest first.
 func (e *Engine) Requests() []Record { return e.requests.list() }
 
+// Keys returns how many requests, on any path, came with a header that carries a key.
+func (e *Engine) Keys() int64 { return e.keys.Load() }
+
+func (e *Engine) countKeys(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for _, field := range []string{"Authorization", "Proxy-Authorization", "X-Api-Key", "Cookie"} {
+			if r.Header.Get(field) != "" {
+				e.keys.Add(1)
+				break
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Memory tells how the engine's memory has been used since its start.
 func (e *Engine) Memory() Memory {
 	e.memory.mutex.Lock()
--- a/fakeengine/engine_test.go
+++ b/fakeengine/engine_test.go
@@ -161,8 +161,7 @@
 	c.Fatal("condition was not reached")
 }
 
-// Guards against a slot that stays taken after its caller has gone, and against waiting requests
-// being admitted out of order.
+// Guards against a slot, or a place in the queue, that stays taken after its caller has gone.
 func TestSlots(t *testing.T) {
 	c := qt.New(t)
 	e := start(t, fakeengine.Settings{Slots: 1, FirstToken: time.Hour})
@@ -212,6 +211,7 @@
 	c.Assert(json.NewDecoder(response.Body).Decode(&records), qt.IsNil)
 	c.Assert(records, qt.HasLen, 1)
 	c.Assert(records[0].Headers.Get("Authorization"), qt.Equals, "Bearer k")
+	c.Assert(e.Keys(), qt.Equals, int64(1))
 	c.Assert(records[0].Tokens, qt.Equals, int64(4))
 }
 
--- a/fakehosts/hosts.go
+++ b/fakehosts/hosts.go
@@ -84,7 +84,7 @@
 	mux.HandleFunc(pat.Get("/v1/hosts"), func(w http.ResponseWriter, _ *http.Request) { answer(w, h.List()) })
 	outer := goji.NewMux()
 	outer.HandleFunc(pat.Put("/v1/hosts"), h.servePut)
-	outer.Handle(pat.New("/*"), h.Faults.Wrap(mux))
+	outer.Handle(pat.New("/*"), h.Faults.Wrap(h.part.Context(), mux))
 	return outer
 }
 
--- a/fakeobject/store.go
+++ b/fakeobject/store.go
@@ -44,7 +44,7 @@
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get("/*"), s.serveGet)
 	mux.HandleFunc(pat.Put("/*"), s.servePut)
-	return s.Faults.Wrap(mux)
+	return s.Faults.Wrap(s.part.Context(), mux)
 }
 
 // Serve answers requests on the listener until Stop.
--- a/fakeservice/service.go
+++ b/fakeservice/service.go
@@ -67,7 +67,7 @@
 	outer := goji.NewMux()
 	outer.HandleFunc(pat.Get("/debug/calls"), func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Calls()) })
 	outer.HandleFunc(pat.Get("/debug/headers"), func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Headers()) })
-	outer.Handle(pat.New("/*"), s.Faults.Wrap(mux))
+	outer.Handle(pat.New("/*"), s.Faults.Wrap(s.part.Context(), mux))
 	return outer
 }
 
--- a/faketable/table.go
+++ b/faketable/table.go
@@ -52,7 +52,7 @@
 	mux.HandleFunc(pat.Post("/v3/kv/txn"), t.serveTxn)
 	outer := goji.NewMux()
 	outer.HandleFunc(pat.Get("/count"), func(w http.ResponseWriter, _ *http.Request) { answer(w, t.Count()) })
-	outer.Handle(pat.New("/*"), t.Faults.Wrap(mux))
+	outer.Handle(pat.New("/*"), t.Faults.Wrap(t.part.Context(), mux))
 	return outer
 }
 
--- a/fakeweights/store.go
+++ b/fakeweights/store.go
@@ -2,6 +2,7 @@
 package fakeweights
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -58,7 +59,7 @@
 	mux.HandleFunc(pat.Get("/weights/:name"), s.serveWeights)
 	outer := goji.NewMux()
 	outer.HandleFunc(pat.Get("/count"), func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Count()) })
-	outer.Handle(pat.New("/*"), s.Faults.Wrap(mux))
+	outer.Handle(pat.New("/*"), s.Faults.Wrap(s.part.Context(), mux))
 	return outer
 }
 
@@ -79,12 +80,15 @@
 }
 
 func (s *Store) serveWeights(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(s.part.Context(), cancel)()
 	adapter := r.URL.Query().Get("kind") == "adapter"
-	if !adapter && !fault.Sleep(r.Context(), s.admit(time.Now())) {
+	if !adapter && !fault.Sleep(ctx, s.admit(time.Now())) {
 		fault.Abort()
 	}
 	took := s.begin(adapter)
-	ok := fault.Sleep(r.Context(), took)
+	ok := fault.Sleep(ctx, took)
 	s.end(adapter, ok)
 	if !ok {
 		fault.Abort()
--- a/fault/set.go
+++ b/fault/set.go
@@ -85,15 +85,16 @@
 	_ = json.NewEncoder(w).Encode(s.Faults())
 }
 
-// Wrap serves the set at Path and applies Slow, Down and Refuse to everything else.
-func (s *Set) Wrap(next http.Handler) http.Handler {
+// Wrap serves the set at Path and applies Slow, Down and Refuse to everything else. Requests that
+// are being slowed are cut off when the context ends.
+func (s *Set) Wrap(running context.Context, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == Path {
 			s.ServeHTTP(w, r)
 			return
 		}
-		if !Sleep(r.Context(), time.Duration(s.Faults().Slow)) {
-			Abort()
+		if slow := time.Duration(s.Faults().Slow); slow > 0 {
+			s.slow(running, r, slow)
 		}
 		f := s.Faults()
 		if f.Down {
@@ -108,6 +109,16 @@
 	})
 }
 
+// slow delays the request; it closes the connection when the stand-in stops or the caller leaves.
+func (s *Set) slow(running context.Context, r *http.Request, d time.Duration) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(running, cancel)()
+	if !Sleep(ctx, d) {
+		Abort()
+	}
+}
+
 // Abort closes the connection of the request that the calling handler serves.
 func Abort() { panic(http.ErrAbortHandler) }
 
--- /dev/null
+++ b/fault/set_test.go
@@ -0,0 +1,81 @@
+package fault_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/document"
+	"magnoliahoist/fault"
+)
+
+// Guards against a misspelt fault that is taken for none, and against faults left from before.
+func TestReplaceOverHTTP(t *testing.T) {
+	c := qt.New(t)
+	cases := map[string]struct {
+		body   string
+		status int
+		want   fault.Faults
+	}{
+		"set":     {`{"slow":"200ms","loseReply":2}`, 200, fault.Faults{Slow: document.Duration(200 * time.Millisecond), LoseReply: 2}},
+		"clear":   {`{}`, 200, fault.Faults{}},
+		"unknown": {`{"loseReplies":1}`, 400, fault.Faults{Down: true}},
+	}
+	for name, test := range cases {
+		c.Run(name, func(c *qt.C) {
+			set := fault.NewSet()
+			set.Replace(fault.Faults{Down: true})
+			w := httptest.NewRecorder()
+			handler := set.Wrap(context.Background(), http.NotFoundHandler())
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, fault.Path, strings.NewReader(test.body)))
+			c.Assert(w.Code, qt.Equals, test.status)
+			c.Assert(set.Faults(), qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against counters that affect more operations than were asked for, or those of another fault.
+func TestTake(t *testing.T) {
+	c := qt.New(t)
+	counters := map[string]struct {
+		counter fault.Counter
+		faults  fault.Faults
+	}{
+		"reply":  {fault.LoseReply, fault.Faults{LoseReply: 1}},
+		"order":  {fault.LoseOrder, fault.Faults{LoseOrder: 1}},
+		"double": {fault.DoubleOrder, fault.Faults{DoubleOrder: 1}},
+		"cut":    {fault.CutStream, fault.Faults{CutStream: 1}},
+		"swap":   {fault.SwapReply, fault.Faults{SwapReply: 1}},
+		"event":  {fault.LoseEvent, fault.Faults{LoseEvent: 1}},
+	}
+	for name, test := range counters {
+		c.Run(name, func(c *qt.C) {
+			set := fault.NewSet()
+			set.Replace(test.faults)
+			taken := 0
+			for _, other := range counters {
+				if set.Take(other.counter) {
+					taken++
+					c.Assert(other.counter, qt.Equals, test.counter)
+				}
+			}
+			c.Assert(taken, qt.Equals, 1)
+			c.Assert(set.Take(test.counter), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against a part that cannot be stopped while it has work to do later.
+func TestStop(t *testing.T) {
+	c := qt.New(t)
+	part := fault.NewPart()
+	part.After(time.Hour, func() { t.Error("the delayed function ran") })
+	part.Stop()
+	<-part.Done()
+	c.Assert(part.Go(func() {}), qt.IsFalse)
+}
