--- a/cli/cli.go
+++ b/cli/cli.go
@@ -1,10 +1,95 @@
 // Package cli holds the commands of the magnoliahoist binary.
 package cli
 
-import "io"
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
-// Run carries out the command line and returns the exit status:
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+
+	"magnoliahoist/config"
+)
+
+// Exit statuses.
+const (
+	exitDone   = 0
+	exitFailed = 1 // refused or failed
+	exitUsage  = 2
+)
+
+// Hooks carry out the commands that run hosts. The context ends when the process is asked
+// to stop; a hook that is nil is not built in.
+type Hooks struct {
+	Host func(ctx context.Context, settings config.Host, errs io.Writer) error
+	Dev  func(ctx context.Context, directory string, errs io.Writer) error
+}
+
+// commands is the grammar of the command line.
+type commands struct {
+	remote
+	Output string `short:"o" enum:"text,json" default:"text" help:"Output format: text or json."`
+
+	Host     hostCommand     `cmd:"" help:"Run an entry host."`
+	Dev      devCommand      `cmd:"" help:"Run everything in one process with example tables."`
+	Check    checkCommand    `cmd:"" help:"Check tables and settings without a host."`
+	Apply    applyCommand    `cmd:"" help:"Replace tables and wait until they are in force."`
+	Get      getCommand      `cmd:"" help:"Print a table."`
+	Key      keyCommands     `cmd:"" help:"Issue, withdraw and list keys."`
+	Status   statusCommand   `cmd:"" help:"Print the status of a host."`
+	Drain    drainCommand    `cmd:"" help:"Stop a host without cutting off a request, and wait for it."`
+	Timeline timelineCommand `cmd:"" help:"Print the events of all hosts in one order."`
+	Config   configCommands  `cmd:"" help:"Print settings."`
+	Health   healthCommand   `cmd:"" help:"Print whether a host takes calls."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+// exit leaves the parser after it has printed help.
+type exit int
+
+// Run carries out the command line without hooks and returns the exit status:
 // 0 done, 1 refused or failed, 2 wrong use.
 func Run(args []string, out, errs io.Writer) int {
-	return 2
+	return Hooks{}.Run(args, out, errs)
+}
+
+// Run carries out the command line and returns the exit status:
+// 0 done, 1 refused or failed, 2 wrong use.
+func (h Hooks) Run(args []string, out, errs io.Writer) (status int) {
+	defer func() {
+		if value := recover(); value != nil {
+			code, ok := value.(exit)
+			if !ok {
+				panic(value)
+			}
+			status = int(code)
+		}
+	}()
+	var grammar commands
+	parser, err := kong.New(&grammar, kong.Name("magnoliahoist"), kong.Description("Serves many models on fewer accelerators."),
+		kong.Writers(out, errs), kong.Exit(func(code int) { panic(exit(code)) }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
+	if err != nil {
+		fmt.Fprintf(errs, "magnoliahoist: unable to set up the command line: %v\n", err)
+		return exitFailed
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(errs, "magnoliahoist: %v\n", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s := &session{ctx: ctx, printer: printer{out: out, errs: errs, json: grammar.Output == "json"}, hooks: h, remote: grammar.remote}
+	if err := parsed.Run(s); err != nil {
+		s.fail(err)
+		if errors.Is(err, errUsage) {
+			return exitUsage
+		}
+		return exitFailed
+	}
+	return exitDone
 }
--- /dev/null
+++ b/cli/drain.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"magnoliahoist/operator"
+)
+
+type drainCommand struct {
+	Wait time.Duration `default:"15m" help:"Longest time to wait until the host has stopped; 0s: don't wait."`
+}
+
+// Run begins a planned stop and waits until the host refuses connections or another
+// process answers in its place.
+func (c drainCommand) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	before, err := client.Status(s.ctx)
+	if err != nil {
+		return err
+	}
+	if err := client.Drain(s.ctx); err != nil {
+		return err
+	}
+	if c.Wait <= 0 {
+		return s.print(operator.Health{State: operator.Draining}, "draining")
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, c.Wait)
+	defer cancel()
+	shown := -1
+	for {
+		status, err := client.Status(ctx)
+		if errors.Is(err, syscall.ECONNREFUSED) || err == nil && status.Host != before.Host {
+			return s.print(map[string]string{"stopped": before.Host}, "stopped "+before.Host)
+		}
+		if left := status.Running + status.Waiting; err == nil && left != shown {
+			s.progress("%s: %s, requests left: %d", status.Host, status.State, left)
+			shown = left
+		}
+		if !wait(ctx) {
+			return errors.Errorf("cli: host %s has not stopped yet", before.Host)
+		}
+	}
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -195,7 +195,7 @@
 	if err == nil {
 		return nil
 	}
-	return &Failure{Type: "transport", Message: "operator: unable to ask the host: " + err.Error(), Run: run}
+	return &Failure{Type: "transport", Message: "operator: unable to ask the host: " + err.Error(), Run: run, cause: err}
 }
 
 // failureIn reads an answer other than success. An answer without the typed body is not
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -47,8 +47,13 @@
 	Run      string            `json:"run"`
 	Current  int64             `json:"current,omitempty"` // revision, for conflicts
 	Problems document.Problems `json:"problems,omitempty"`
+
+	cause error
 }
 
+// Unwrap returns the error of the connection when no answer came.
+func (f *Failure) Unwrap() error { return f.cause }
+
 // Error returns the message with all problems.
 func (f *Failure) Error() string {
 	if len(f.Problems) > 0 {
