call: join the writes of many calls into one transaction

When a condition fails it tries the halves apart. Seeds and numbers of histories are set by an init function. Conclusion: one send per key holds through Batch under the faults tried. Joining pays only where keys rarely repeat across hosts.

--- a/call/call_test.go
+++ b/call/call_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
-	"os"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,22 +13,18 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"magnoliahoist/table"
 )
 
 // checks is the number of histories of a property test.
 const checks = "20000"
 
-// TestMain fixes and prints the seed of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20263", "rapid.checks": checks} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			f.Value.Set(value)
-		}
+// Fixes and prints the seed and the number of histories, which flags may override.
+func init() {
+	for name, value := range map[string]string{"seed": "20263", "checks": checks, "nofailfile": "true"} {
+		fmt.Println("rapid", name, value, flag.Set("rapid."+name, value))
 	}
-	flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
 }
 
 // noWait is a clock that does not wait.
@@ -115,30 +112,84 @@
 	qt.Assert(t, c.Finish(ctx, Attempt{}, Outcome{Body: make([]byte, MaxBody+1)}), qt.Equals, ErrTooLarge)
 }
 
-// Guards against two sends when many hosts begin the same key at once.
+// Guards against two sends when hosts begin the same keys at once, each with joined
+// writes under faults.
 func TestPropertyOneSendOfManyHosts(t *testing.T) {
-	m := newMemory()
-	var sends, replays atomic.Int64
-	var group sync.WaitGroup
-	for host := range 16 {
-		group.Go(func() {
-			c := New(m, fmt.Sprint(host), noWait{})
-			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-			defer cancel()
-			switch d, _ := c.Await(ctx, "a", "k", Digest{}); d := d.(type) {
-			case Proceed:
-				sends.Add(1)
-				if err := c.Finish(ctx, d.Attempt, Outcome{Status: 200}); err != nil {
-					t.Error(err)
+	const hosts, keys, seed = 8, 32, 20264
+	for name, faults := range map[string]int{"no fault": 0, "faults": 4} {
+		t.Run(name, func(t *testing.T) {
+			t.Log("seed", seed)
+			m, draw, commits := newMemory(), rand.New(rand.NewPCG(seed, 0)), 0
+			m.next = func(write bool) fate {
+				if write {
+					commits++
+				}
+				if len(m.waiting) > 0 && draw.IntN(2) == 0 {
+					m.land(0)
+				}
+				return fate(max(0, draw.IntN(12)-11+faults))
+			}
+			var sends [keys]atomic.Int64
+			var group sync.WaitGroup
+			for n := range hosts {
+				b := NewBatch(m, noWait{}, 0)
+				c := New(b, fmt.Sprint(n), noWait{})
+				defer func() { b.Close(); <-b.Done() }()
+				for key := range keys {
+					group.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+						defer cancel()
+						d, _ := c.Begin(ctx, "a", fmt.Sprint(key), Digest{})
+						if p, ok := d.(Proceed); ok {
+							sends[key].Add(1)
+							if err := c.Finish(ctx, p.Attempt, Outcome{Status: 200}); err != nil {
+								t.Error(err)
+							}
+						}
+					})
 				}
-			case Replay:
-				replays.Add(1)
 			}
+			group.Wait()
+			for key := range sends {
+				qt.Assert(t, sends[key].Load() <= 1, qt.IsTrue)
+				qt.Assert(t, faults > 0 || sends[key].Load() == 1, qt.IsTrue)
+			}
+			t.Log(commits, "transactions for", hosts*keys, "calls")
 		})
 	}
-	group.Wait()
-	qt.Assert(t, sends.Load(), qt.Equals, int64(1))
-	qt.Assert(t, replays.Load(), qt.Equals, int64(15))
+}
+
+// Guards against a batch that claims the wrong thing about what it did not send, and
+// against one conflict failing the transactions joined with it.
+func TestBatchSplitsConflictsAndStops(t *testing.T) {
+	m := newMemory()
+	b := &Batch{table: m, clock: noWait{}, wake: make(chan struct{}, 1)}
+	var list []*request
+	for _, key := range []string{"a", "b", "c", "b", "d"} {
+		r := &request{write(key, 0, record{State: Void}).txn, make(chan answer, 1)}
+		qt.Assert(t, b.add(r), qt.IsTrue)
+		list = append(list, r)
+	}
+	for _, want := range []int{4, 1, 0} {
+		taken := b.take()
+		qt.Assert(t, taken, qt.HasLen, want)
+		if want > 0 {
+			b.commit(context.Background(), taken)
+		}
+	}
+	again := &request{list[0].txn, make(chan answer, 1)} // fails, since row a exists
+	fresh := &request{write("e", 0, record{State: Void}).txn, make(chan answer, 1)}
+	b.commit(context.Background(), []*request{again, fresh})
+	for i, want := range []bool{true, true, true, false, true, false, true} {
+		qt.Assert(t, (<-append(list, again, fresh)[i].answer).result.Committed, qt.Equals, want)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := b.Commit(ended, table.Txn{})
+	qt.Assert(t, errors.Is(err, table.ErrNotSent), qt.IsTrue)
+	b.stop()
+	_, err = b.Commit(context.Background(), table.Txn{})
+	qt.Assert(t, errors.Is(err, table.ErrNotSent), qt.IsTrue)
 }
 
 // process is a beginning or a closing that the property test steps.
