limit, queue: fix seeds in init; test when a lender's cap returns

Cause: no test failed if a lender ended a loan after 2 s instead of 2.02 s. Change: TestLoanLowersTheCapUntilItHasEnded; rapid's flags are set in an init function, with the same seeds and numbers of histories as before.

--- a/limit/ledger_test.go
+++ b/limit/ledger_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -15,18 +14,11 @@
 // that has a test of its own, TestReturnCountsHeadroomOnce.
 const checks = "20000"
 
-// TestMain fixes and prints the seed of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		flag.Set("rapid.seed", "20261")
+// Fixes and prints the seed and the number of histories, which flags may override.
+func init() {
+	for name, value := range map[string]string{"seed": "20261", "checks": checks, "nofailfile": "true"} {
+		fmt.Println("rapid", name, value, flag.Set("rapid."+name, value))
 	}
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		f.Value.Set(checks)
-	}
-	flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
 }
 
 // full returns a ledger whose bucket has filled by time 0 s.
@@ -120,6 +112,14 @@
 	qt.Assert(t, lender.Missing(lent+repayable, 100), qt.Equals, int64(19))
 }
 
+// Guards against a lender that refills what a borrower with a slower clock may still spend.
+func TestLoanLowersTheCapUntilItHasEnded(t *testing.T) {
+	l := full(1000, 100)
+	l.Lend(0, "a", "b", 100)
+	qt.Assert(t, l.Missing(2020*time.Millisecond-1, 100), qt.Equals, int64(100))
+	qt.Assert(t, l.Missing(2120*time.Millisecond, 100), qt.Equals, int64(0))
+}
+
 // Guards against a borrower that spends the loan that ends last first.
 func TestTakeSpendsTheLoanThatEndsFirst(t *testing.T) {
 	l := NewLedger(0)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -16,18 +15,11 @@
 // weights or with tags left over from an earlier busy period still passed.
 const checks = "2000"
 
-// TestMain fixes and prints the seed of the property tests.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		f.Value.Set("20262")
+// Fixes and prints the seed and the number of histories, which flags may override.
+func init() {
+	for name, value := range map[string]string{"seed": "20262", "checks": checks, "nofailfile": "true"} {
+		fmt.Println("rapid", name, value, flag.Set("rapid."+name, value))
 	}
-	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
-		f.Value.Set(checks)
-	}
-	flag.Set("rapid.nofailfile", "true")
-	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
-	os.Exit(m.Run())
 }
 
 func always(Item) bool { return true }
