--- a/document/inspect.go
+++ b/document/inspect.go
@@ -197,6 +197,8 @@
 	return "a value of type " + want.String()
 }
 
+// fieldsOf returns the fields of a struct by their JSON names. Embedded structs are not
+// supported; no document type has any.
 func fieldsOf(want reflect.Type) map[string]reflect.Type {
 	fields := map[string]reflect.Type{}
 	for n := range want.NumField() {
--- a/operator/client.go
+++ b/operator/client.go
@@ -163,7 +163,7 @@
 		return response.Header, nil
 	}
 	err = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(result)
-	return response.Header, failed(err, runUnknown)
+	return response.Header, failed(err, runOf(method))
 }
 
 func (c *Client) send(ctx context.Context, method, path string, header http.Header, data []byte) (*http.Response, error) {
@@ -182,12 +182,19 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
-	run := runUnknown
 	var network *net.OpError
-	if errors.As(err, &network) && network.Op == "dial" || method == http.MethodGet {
-		run = runNo
+	if errors.As(err, &network) && network.Op == "dial" {
+		return nil, failed(err, runNo)
+	}
+	return response, failed(err, runOf(method))
+}
+
+// runOf says whether a request that may have been sent can have had an effect.
+func runOf(method string) string {
+	if method == http.MethodGet {
+		return runNo
 	}
-	return response, failed(err, run)
+	return runUnknown
 }
 
 // failed wraps an error that is not an answer of the server.
