lease: decide takeovers of leases and shares and when they may be used

Plans are conditional on the row and on the writer's membership; Holdings follows the rows and raises a part only after acceptance and the wait. A share row names the revision that it replaced, because a holder that missed a division in between may not keep its part. The property test of replica covers leases and shares too.

--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,184 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"magnoliahoist/account"
+	"magnoliahoist/lease"
+	"magnoliahoist/pool"
+	"magnoliahoist/replica"
+	"magnoliahoist/table"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const window = 3 * time.Second
+
+// fleet returns a view with n members in two failure domains, one pool and one account.
+func fleet(n int) *replica.View {
+	rows := []table.Row{
+		{Key: replica.KeyForPool("p"), Value: replica.EncodePool(pool.Pool{Name: "p"}), Revision: 1},
+		{Key: replica.KeyForAccount("x"), Value: replica.EncodeAccount(account.Account{Name: "x"}), Revision: 1},
+	}
+	for i := range n {
+		m := replica.Member{Address: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: fmt.Sprintf("d%d", i%2), Group: "g"}
+		key := replica.KeyForMember(fmt.Sprintf("h%d", i))
+		rows = append(rows, table.Row{Key: key, Value: replica.EncodeMember(m), Revision: int64(i + 2)})
+	}
+	return replica.NewView().With(rows, int64(n+1))
+}
+
+// apply returns the view after the plan's writes.
+func apply(v *replica.View, plan lease.Plan) *replica.View {
+	row := table.Row{Key: plan.Key, Value: plan.Txn.Writes[0].Value, Revision: v.Revision() + 1}
+	return v.With([]table.Row{row}, row.Revision)
+}
+
+// settle lets every member act in turn until none has a plan, and returns the view.
+func settle(v *replica.View, planners map[string]*lease.Planner, now time.Duration, unanswered map[string]time.Duration) *replica.View {
+	for range 10 {
+		for _, m := range v.Members() {
+			if _, silent := unanswered[m.ID]; silent {
+				continue
+			}
+			s := lease.Status{Self: m.ID, View: v, K: 3, Unanswered: unanswered}
+			for _, plan := range planners[m.ID].Due(now, s) {
+				v = apply(v, plan)
+				break // the next plan needs the new view
+			}
+		}
+	}
+	return v
+}
+
+func planners(v *replica.View) map[string]*lease.Planner {
+	all := map[string]*lease.Planner{}
+	for _, m := range v.Members() {
+		all[m.ID] = lease.NewPlanner(window)
+	}
+	return all
+}
+
+// TestAssignSpread guards against holders crowded into one failure domain.
+func TestAssignSpread(t *testing.T) {
+	c := qt.New(t)
+	members := fleet(8).Members()
+	for i := range 50 {
+		parts := lease.Assign(members, fmt.Sprint("account", i), 4)
+		domains := map[string]int{}
+		for _, part := range parts {
+			for _, m := range members {
+				if m.ID == part.Host {
+					domains[m.Domain]++
+				}
+			}
+			c.Assert(part.Part, qt.Equals, 0.25)
+		}
+		c.Assert(domains, qt.DeepEquals, map[string]int{"d0": 2, "d1": 2})
+	}
+	c.Assert(lease.Assign(members[:2], "x", 5), qt.HasLen, 2)
+}
+
+// TestTakeover guards against a lease or share that stays with a silent holder, and against taking
+// from a holder that has been silent for less than the limit.
+func TestTakeover(t *testing.T) {
+	c := qt.New(t)
+	v := fleet(5)
+	all := planners(v)
+	v = settle(v, all, 0, nil)
+	first, found := v.LeaseOf("p")
+	c.Assert(found, qt.IsTrue)
+	share, _ := v.ShareOf("x")
+	c.Assert(share.Parts, qt.HasLen, 3)
+
+	unanswered := map[string]time.Duration{first.Holder: 0, share.Parts[0].Host: 0}
+	early := settle(v, all, lease.Silence-1, unanswered)
+	c.Assert(early.Revision(), qt.Equals, v.Revision())
+	v = settle(v, all, lease.Silence, unanswered)
+	second, _ := v.LeaseOf("p")
+	c.Assert(second.Number, qt.Equals, first.Number+1)
+	c.Assert(unanswered[second.Holder], qt.Equals, time.Duration(0))
+	next, _ := v.ShareOf("x")
+	c.Assert(next.After, qt.Equals, share.Revision)
+	sum := 0.0
+	for _, part := range next.Parts {
+		_, silent := unanswered[part.Host]
+		c.Assert(silent, qt.IsFalse)
+		sum += part.Part
+	}
+	c.Assert(sum <= 1+1e-9, qt.IsTrue)
+}
+
+// TestRankDelay guards against a row that stays vacant because the first candidate reaches no table service.
+func TestRankDelay(t *testing.T) {
+	c := qt.New(t)
+	v := fleet(3)
+	last := lease.Rank(v.Members(), "p")[2].ID
+	planner := lease.NewPlanner(window)
+	keys := func(now time.Duration) map[string]bool {
+		due := map[string]bool{}
+		for _, plan := range planner.Due(now, lease.Status{Self: last, View: v, K: 3}) {
+			due[plan.Key] = true
+		}
+		return due
+	}
+	c.Assert(keys(0)[replica.KeyForLease("p")], qt.IsFalse)
+	c.Assert(keys(time.Minute)[replica.KeyForLease("p")], qt.IsTrue)
+}
+
+// TestHandOver guards against a draining host that leaves shares or leases behind.
+func TestHandOver(t *testing.T) {
+	c := qt.New(t)
+	v := settle(fleet(3), planners(fleet(3)), 0, nil)
+	held, _ := v.LeaseOf("p")
+	for _, plan := range lease.NewPlanner(window).HandOver(0, lease.Status{Self: held.Holder, View: v, K: 3}) {
+		v = apply(v, plan)
+	}
+	next, _ := v.LeaseOf("p")
+	c.Assert(next.Holder, qt.Not(qt.Equals), held.Holder)
+	share, _ := v.ShareOf("x")
+	c.Assert(share.PartOf(held.Holder), qt.Equals, 0.0)
+	c.Assert(share.Parts, qt.HasLen, 2)
+}
+
+// TestRemovals guards against removing a member that is listed, answers, or is judged by an old list.
+func TestRemovals(t *testing.T) {
+	v := fleet(2)
+	missing := func(replica.Member) bool { return false }
+	silent := map[string]time.Duration{"h1": 0}
+	for name, test := range map[string]struct {
+		status lease.Status
+		want   int
+	}{
+		"dead":     {lease.Status{Unanswered: silent, Listed: missing}, 1},
+		"listed":   {lease.Status{Unanswered: silent, Listed: func(replica.Member) bool { return true }}, 0},
+		"answers":  {lease.Status{Listed: missing}, 0},
+		"old list": {lease.Status{Unanswered: silent, Listed: missing, ListAge: 31 * time.Second}, 0},
+		"no list":  {lease.Status{Unanswered: silent, Listed: missing, ListAge: -1}, 0},
+		"replaced": {lease.Status{Replaced: map[string]bool{"h1": true}}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test.status.Self, test.status.View = "h0", v
+			qt.Assert(t, lease.Removals(lease.Silence, test.status), qt.HasLen, test.want)
+		})
+	}
+}
+
+// TestStates guards against a takeover that skips acceptance or the wait.
+func TestStates(t *testing.T) {
+	c := qt.New(t)
+	r := replica.New("h0", "g", window)
+	v := fleet(3)
+	r.Learn(0, 0, replica.FromTable{}, 0, table.Snapshot{Rows: v.RowsAfter(0), Revision: v.Revision()})
+	takeover, key, wait := lease.NewTakeover(), replica.KeyForLease("p"), replica.Wait(window)
+	c.Assert(takeover.Advance(0, r, key, wait), qt.Equals, lease.Committing)
+	takeover.Committed(table.Result{Committed: true, Revision: v.Revision()})
+	c.Assert(takeover.Advance(0, r, key, wait), qt.Equals, lease.Accepting)
+	r.Acked("h1", v.Revision())
+	r.Acked("h2", v.Revision())
+	c.Assert(takeover.Advance(1, r, key, wait), qt.Equals, lease.Waiting)
+	c.Assert(takeover.Advance(wait, r, key, wait), qt.Equals, lease.Waiting)
+	c.Assert(takeover.Advance(1+wait, r, key, wait), qt.Equals, lease.Held)
+}
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"time"
 
+	"magnoliahoist/account"
+	"magnoliahoist/lease"
+	"magnoliahoist/pool"
 	"magnoliahoist/replica"
 	"magnoliahoist/table"
 
@@ -17,18 +20,24 @@
 
 // host is a simulated process; its clock has its own start and runs up to 0.5 % fast or slow.
 type host struct {
-	id      string
-	replica *replica.Replica
-	rate    float64
-	born    time.Duration
-	side    int // hosts and the table reach each other on the same side of a partition
-	dead    bool
+	id       string
+	replica  *replica.Replica
+	holdings *lease.Holdings
+	planner  *lease.Planner
+	rate     float64
+	born     time.Duration
+	side     int // hosts and the table reach each other on the same side of a partition
+	dead     bool
 }
 
 func (h *host) clock(now time.Duration) time.Duration {
 	return time.Duration(float64(now-h.born) * h.rate)
 }
 
+func (h *host) update(now time.Duration) {
+	h.holdings.Update(h.clock(now), h.replica)
+}
+
 // message is an exchange in flight: sent, then served, then delivered.
 type message struct {
 	from, to *host // to is nil for the table
@@ -51,8 +60,11 @@
 	accepted   int64
 	acceptedAt []acceptance
 	highest    map[string]int64
+	late       []table.Txn // commits that take effect later
 	next       int
-	freshSeen  int
+	freshSeen  int // checks of a fresh host
+	leaseSeen  int // checks with a usable lease
+	shareSeen  int // checks with a usable share
 }
 
 type acceptance struct {
@@ -62,7 +74,11 @@
 
 func newCluster(t *rapid.T) *cluster {
 	c := &cluster{rows: map[string]table.Row{}, highest: map[string]int64{}}
-	for range rapid.IntRange(1, 5).Draw(t, "hosts") {
+	c.commit(table.Txn{Writes: []table.Write{
+		{Key: replica.KeyForAccount("x"), Value: replica.EncodeAccount(account.Account{Name: "x", Rate: 1})},
+		{Key: replica.KeyForPool("p"), Value: replica.EncodePool(pool.Pool{Name: "p"})},
+	}})
+	for range rapid.SampledFrom([]int{1, 2, 3, 4, 5, 5, 5}).Draw(t, "hosts") {
 		c.join(t)
 	}
 	return c
@@ -94,7 +110,8 @@
 func (c *cluster) join(t *rapid.T) *host {
 	c.next++
 	id := fmt.Sprintf("h%d", c.next)
-	h := &host{id: id, replica: replica.New(id, "g", window), born: c.now,
+	h := &host{id: id, replica: replica.New(id, "g", window),
+		holdings: lease.NewHoldings(id, window), planner: lease.NewPlanner(window), born: c.now,
 		rate: rapid.SampledFrom([]float64{0.995, 1, 1.005}).Draw(t, "rate"), side: c.tableSide}
 	if !c.tableDown {
 		m := replica.Member{Address: id, Domain: fmt.Sprint(c.next % 3), Group: "g"}
@@ -155,6 +172,7 @@
 		m.from.replica.Settle(m.settled)
 	}
 	m.from.replica.Learn(m.from.clock(c.now), m.started, source, m.after, m.snapshot)
+	m.from.update(c.now)
 }
 
 func (c *cluster) exchange(from, to *host) {
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -5,25 +5,32 @@
 	"testing"
 	"time"
 
+	"magnoliahoist/lease"
 	"magnoliahoist/replica"
 	"magnoliahoist/table"
 
 	"pgregory.net/rapid"
 )
 
-// TestPropertyFresh guards against a fresh host that lacks a change accepted longer than the window
-// ago (I5, I12), and against a revision that goes back (I13), over joins, deaths, partitions,
-// lagging and lost messages, and clock drift.
-func TestPropertyFresh(t *testing.T) {
+// TestPropertyReplicas guards against a fresh host that lacks a change accepted longer than the window
+// ago (I5, I12), a revision that goes back (I13), and a lease or share usable by two holders at once
+// (I1, I6), over joins, deaths, partitions, lagging and lost messages, late commits and clock drift.
+func TestPropertyReplicas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(t)
+		if rapid.Bool().Draw(t, "warm") {
+			c.run(t)
+		}
 		t.Repeat(c.actions(t))
 	})
 }
 
 func (c *cluster) actions(t *rapid.T) map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"": c.check,
+		"": func(t *rapid.T) {
+			c.check(t)
+			c.checkUse(t)
+		},
 		"advance": func(t *rapid.T) {
 			c.now += time.Duration(rapid.IntRange(1, 3200).Draw(t, "ms")) * time.Millisecond
 		},
@@ -34,9 +41,14 @@
 			key := replica.KeyForPool(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "row")))
 			c.commit(table.Txn{Writes: []table.Write{{Key: key, Value: replica.EncodeGone()}}})
 		},
-		"read":      func(t *rapid.T) { c.exchange(c.drawLive(t), nil) },
-		"exchange":  func(t *rapid.T) { c.exchange(c.drawLive(t), c.drawLive(t)) },
+		"read": func(t *rapid.T) { c.exchange(c.drawLive(t), nil) },
+		"exchange": func(t *rapid.T) {
+			if from, to := c.drawLive(t), c.drawLive(t); from != to {
+				c.exchange(from, to)
+			}
+		},
 		"round":     c.round,
+		"run":       c.run,
 		"send":      c.sendOne,
 		"serve":     c.serveOne,
 		"deliver":   c.deliverOne,
@@ -47,8 +59,12 @@
 			}
 			c.join(t)
 		},
-		"die":    func(t *rapid.T) { c.drawLive(t).dead = true },
-		"remove": c.remove,
+		"die":      func(t *rapid.T) { c.drawLive(t).dead = true },
+		"remove":   c.remove,
+		"tick":     func(t *rapid.T) { c.drawLive(t).update(c.now) },
+		"takeover": c.takeover,
+		"drain":    c.drain,
+		"late":     c.applyLate,
 	}
 }
 
@@ -67,13 +83,30 @@
 	}
 }
 
+// run lets time pass with regular rounds, longer than a window, as hosts on both sides of a partition do.
+func (c *cluster) run(t *rapid.T) {
+	for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+		c.round(t)
+		c.now += time.Second
+		c.check(t)
+		silent := rapid.SampledFrom(c.hosts).Draw(t, "silent").id
+		for _, h := range c.live() {
+			h.update(c.now)
+			status := lease.Status{Self: h.id, View: h.replica.View(), K: 3,
+				Unanswered: map[string]time.Duration{silent: -time.Hour}}
+			c.submit(t, h, h.planner.Due(h.clock(c.now), status))
+		}
+		c.checkUse(t)
+	}
+}
+
 func (c *cluster) sendOne(t *rapid.T) {
 	from := c.drawLive(t)
-	if rapid.Bool().Draw(t, "table") {
-		c.send(from, nil)
-		return
+	to := c.drawLive(t)
+	if rapid.Bool().Draw(t, "table") || from == to {
+		to = nil
 	}
-	c.send(from, c.drawLive(t))
+	c.send(from, to)
 }
 
 func (c *cluster) serveOne(t *rapid.T) {
--- a/replica/row.go
+++ b/replica/row.go
@@ -32,12 +32,24 @@
 	Part float64 `json:"part"`
 }
 
-// Share divides an account's allowance among holders.
+// Share divides an account's allowance among holders. After is the revision of the row that it
+// replaced, so that a holder notices when it missed a division in between.
 type Share struct {
 	Parts    []Part `json:"parts"`
+	After    int64  `json:"after,omitempty"`
 	Revision int64  `json:"-"`
 }
 
+// PartOf returns the part of the host, 0 when it holds none.
+func (s Share) PartOf(host string) float64 {
+	for _, part := range s.Parts {
+		if part.Host == host {
+			return part.Part
+		}
+	}
+	return 0
+}
+
 // Lease is the right to manage a pool; Number grows with every holder.
 type Lease struct {
 	Holder   string `json:"holder"`
