--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,82 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"magnoliahoist/peer"
+	"magnoliahoist/table"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// backend answers every call; calls that its embedded nil interface gets would panic.
+type backend struct{ peer.Backend }
+
+func (backend) Sync(_ context.Context, r *peer.SyncRequest) (*peer.SyncResponse, error) {
+	if r.After < 0 {
+		return nil, errors.New("negative revision")
+	}
+	rows := []table.Row{{Key: "fleet/head", Value: []byte("{}"), Revision: r.After + 1}}
+	return &peer.SyncResponse{Reply: &peer.Reply{Stamp: r.Header.Stamp + 1}, Rows: peer.RowsOf(rows), Revision: r.After + 1, TableAge: -1}, nil
+}
+
+func (backend) Borrow(ctx context.Context, _ *peer.BorrowRequest) (*peer.BorrowResponse, error) {
+	<-ctx.Done()
+	return &peer.BorrowResponse{}, nil
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestCalls guards against calls without the secret, and against taking one member's answer for another's.
+func TestCalls(t *testing.T) {
+	address := serve(t, peer.NewServer(backend{}, "b", "s3cret"))
+	open := serve(t, peer.NewServer(backend{}, "b", ""))
+	stranger := serve(t, peer.NewPeerServer(backend{})) // answers without naming itself
+	var member *peer.MemberError
+	for name, test := range map[string]struct {
+		secret string
+		to     peer.Target
+		from   string
+		after  int64
+		check  func(error) bool
+	}{
+		"right":           {"s3cret", peer.Target{ID: "b", Address: address}, "a", 4, func(err error) bool { return err == nil }},
+		"wrong secret":    {"s3cre", peer.Target{ID: "b", Address: address}, "a", 4, func(err error) bool { return errors.Is(err, peer.ErrSecret) }},
+		"no secret":       {"", peer.Target{ID: "b", Address: open}, "a", 4, func(err error) bool { return errors.Is(err, peer.ErrSecret) }},
+		"other member":    {"s3cret", peer.Target{ID: "c", Address: address}, "a", 4, func(err error) bool { return errors.As(err, &member) && member.Got == "b" }},
+		"unnamed answer":  {"s3cret", peer.Target{ID: "b", Address: stranger}, "a", 4, func(err error) bool { return errors.As(err, &member) }},
+		"no sender":       {"s3cret", peer.Target{ID: "b", Address: address}, "", 4, func(err error) bool { return errors.Is(err, peer.ErrFailed) }},
+		"backend's error": {"s3cret", peer.Target{ID: "b", Address: address}, "a", -1, func(err error) bool { return errors.Is(err, peer.ErrFailed) }},
+		"no listener":     {"s3cret", peer.Target{ID: "b", Address: "127.0.0.1:1"}, "a", 4, func(err error) bool { return errors.Is(err, peer.ErrUnanswered) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := peer.NewClient(http.DefaultClient, test.secret)
+			answer, err := client.Sync(t.Context(), test.to, peer.Sender{ID: test.from, Stamp: 7}, test.after)
+			qt.Assert(t, test.check(err), qt.IsTrue, qt.Commentf("error %v", err))
+			if err != nil {
+				return
+			}
+			qt.Assert(t, answer.Snapshot().Revision, qt.Equals, int64(5))
+			qt.Assert(t, answer.Snapshot().Rows[0].Key, qt.Equals, "fleet/head")
+			qt.Assert(t, answer.Source().ID, qt.Equals, "b")
+			qt.Assert(t, answer.Reply.Stamp, qt.Equals, int64(8))
+		})
+	}
+}
+
+// TestTimeout guards against a caller that waits for a frozen peer.
+func TestTimeout(t *testing.T) {
+	address := serve(t, peer.NewServer(backend{}, "b", "s3cret"))
+	client := peer.NewClient(http.DefaultClient, "s3cret")
+	_, err := client.Borrow(t.Context(), peer.Target{ID: "b", Address: address}, peer.Sender{ID: "a"}, "x", "1", 10)
+	qt.Assert(t, errors.Is(err, peer.ErrUnanswered), qt.IsTrue, qt.Commentf("error %v", err))
+}
