--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -93,3 +93,20 @@
 	_, found = v.AccountByName("x")
 	c.Assert(found, qt.IsTrue)
 }
+
+// TestSettledWaits guards against dropping an earlier member set while a fresh host may still count by it.
+func TestSettledWaits(t *testing.T) {
+	c := qt.New(t)
+	window := 3 * time.Second
+	r := replica.New("a", "g", window)
+	rows := []table.Row{memberRow("a", 1), memberRow("b", 2)}
+	r.Learn(0, 0, replica.FromTable{}, 0, table.Snapshot{Rows: rows, Revision: 2})
+	r.Learn(time.Second, 0, replica.FromMember{ID: "b", TableAge: -1}, 2, table.Snapshot{Revision: 2})
+	for _, now := range []time.Duration{replica.Wait(window), time.Second + replica.Wait(window) - 1} {
+		r.Learn(now, now, replica.FromTable{}, 2, table.Snapshot{Revision: 2})
+		c.Assert(r.Settled(), qt.Equals, int64(0))
+	}
+	now := time.Second + replica.Wait(window)
+	r.Learn(now, now, replica.FromTable{}, 2, table.Snapshot{Revision: 2})
+	c.Assert(r.Settled(), qt.Equals, int64(2))
+}
