--- /dev/null
+++ b/placement/kind.go
@@ -0,0 +1,22 @@
+package placement
+
+//go:generate stringer -type=Kind,Result -linecomment -output=kind_string.go
+
+// Kind is what an order asks for.
+type Kind int
+
+// Kinds of orders.
+const (
+	Load   Kind = iota // load
+	Unload             // unload
+	Role               // role
+)
+
+// Result is an endpoint's definitive answer to an order.
+type Result int
+
+// Results of an order.
+const (
+	Applied  Result = iota // applied
+	Rejected               // rejected
+)
