placement: keep the reservation of a repeated order that is not sent

The host cannot tell a repetition from a first sending, so it would have reported an order whose record failed as rejected although an earlier copy may still take effect. Unsent drops the order only if it was never sent.

--- a/placement/machine_test.go
+++ b/placement/machine_test.go
@@ -73,6 +73,7 @@
 	manager *Manager
 	engines []*engine
 	rows    map[string][]Record
+	unsent  func() bool // whether recording an order fails
 }
 
 func newWorld(endpoints, models int, size func(int) int64) *world {
@@ -99,16 +100,20 @@
 	return w.engines[slices.IndexFunc(w.engines, func(e *engine) bool { return e.Name == name })]
 }
 
-// plan returns the manager's orders after recording them.
+// plan returns the manager's orders after recording them, without those that cannot be recorded.
 func (w *world) plan() []Order {
 	orders := w.manager.Plan(w.now)
 	for _, e := range w.engines {
 		w.rows[e.Name] = w.manager.Records(e.Name)
 	}
-	for _, o := range orders {
+	return slices.DeleteFunc(orders, func(o Order) bool {
+		if w.unsent != nil && w.unsent() {
+			w.manager.Unsent(w.now, o.ID)
+			return true
+		}
 		w.manager.Sent(w.now, o.ID)
-	}
-	return orders
+		return false
+	})
 }
 
 // deliver carries out the n-th message of an endpoint.
@@ -181,6 +186,7 @@
 
 // settle runs without faults and returns a model that is resident nowhere at the end.
 func (w *world) settle(steps int) string {
+	w.unsent = nil
 	for _, e := range w.engines {
 		e.leaving = false
 		for len(e.network) > 0 {
@@ -227,6 +233,7 @@
 	case 0, 1, 2, 3:
 		w.advance(time.Duration(rapid.IntRange(100, 6000).Draw(t, "ms")) * time.Millisecond)
 	case 4, 5, 6, 7, 8:
+		w.unsent = quarter
 		for _, o := range w.plan() {
 			e := w.engine(o.Endpoint)
 			switch rapid.IntRange(0, 5).Draw(t, "fate") {
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"magnoliahoist/pool"
@@ -42,7 +43,7 @@
 		if r.Order.Kind == Role {
 			continue // reserves nothing
 		}
-		o := &pending{Order: r.Order, old: r.Order.Fence < number, issued: now, ended: true, endedAt: now}
+		o := &pending{Order: r.Order, old: r.Order.Fence < number, sent: true, issued: now, ended: true, endedAt: now}
 		if r.Known {
 			o.settle(now, Applied)
 		}
@@ -124,15 +125,29 @@
 	return nil, nil
 }
 
-// Sent notes that a request for the order is under way.
+// Sent notes that a request for the order is about to start.
 func (m *Manager) Sent(now time.Duration, id string) {
 	if _, o := m.order(id); o != nil {
-		o.ended = false
+		o.sent, o.ended = true, false
 	}
 }
 
-// Answered notes the endpoint's definitive answer, or Rejected for an order
-// that was never sent. The memory stays reserved until a report shows the effect.
+// Unsent notes that an order returned by Plan is not sent, as when its record
+// could not be written. If it was sent before, it may still take effect.
+func (m *Manager) Unsent(now time.Duration, id string) {
+	l, o := m.order(id)
+	if o == nil {
+		return
+	}
+	if o.sent {
+		m.Lost(now, id)
+		return
+	}
+	l.orders = slices.DeleteFunc(l.orders, func(other *pending) bool { return other == o })
+	l.retryAt = now + m.settings.Backoff
+}
+
+// Answered notes the endpoint's definitive answer. The memory stays reserved until a report shows the effect.
 func (m *Manager) Answered(now time.Duration, id string, r Result) {
 	l, o := m.order(id)
 	if o == nil {
--- a/placement/order.go
+++ b/placement/order.go
@@ -61,6 +61,7 @@
 type pending struct {
 	Order
 	old      bool // recorded by an earlier holder of the lease
+	sent     bool // some request for it was started
 	issued   time.Duration
 	ended    bool // no request for it is running
 	endedAt  time.Duration
