--- a/placement/machine_test.go
+++ b/placement/machine_test.go
@@ -236,7 +236,7 @@
 		w.unsent = quarter
 		for _, o := range w.plan() {
 			e := w.engine(o.Endpoint)
-			switch rapid.IntRange(0, 5).Draw(t, "fate") {
+			switch rapid.IntRange(0, 5).Draw(t, "delivery") {
 			case 0:
 				w.manager.Lost(w.now, o.ID)
 			case 1:
--- a/placement/manager_test.go
+++ b/placement/manager_test.go
@@ -111,7 +111,7 @@
 func TestPlanBoundsLoads(t *testing.T) {
 	w := newWorld(20, 40, small)
 	w.manager.settings.AdapterKnee = 7
-	flying := make(map[bool]int)
+	inFlight := make(map[bool]int)
 	for second := range 30 {
 		w.advance(time.Second)
 		for _, e := range w.engines {
@@ -119,16 +119,16 @@
 		}
 		for _, o := range w.plan() {
 			if o.Kind == Load {
-				flying[o.Adapter != ""]++
+				inFlight[o.Adapter != ""]++
 			} else {
 				w.manager.Answered(w.now, o.ID, Applied)
 			}
 		}
-		qt.Assert(t, float64(flying[false]) <= 1.5*float64(second+1)+1, qt.IsTrue)
-		qt.Assert(t, flying[false] <= 10, qt.IsTrue)
-		qt.Assert(t, flying[true] <= 7, qt.IsTrue)
+		qt.Assert(t, float64(inFlight[false]) <= 1.5*float64(second+1)+1, qt.IsTrue)
+		qt.Assert(t, inFlight[false] <= 10, qt.IsTrue)
+		qt.Assert(t, inFlight[true] <= 7, qt.IsTrue)
 	}
-	qt.Assert(t, flying[false], qt.Equals, 10)
+	qt.Assert(t, inFlight[false], qt.Equals, 10)
 }
 
 // Guards against replicas that follow every change of demand.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -65,7 +65,7 @@
 		l := p.ledgers[name]
 		for _, o := range l.orders {
 			if o.Kind == Load && !o.known && !o.ended {
-				p.fly(o.Item())
+				p.countLoad(o.Item())
 			}
 		}
 		if !p.usable(l) {
@@ -93,7 +93,7 @@
 	}
 }
 
-func (p *plan) fly(item Item) {
+func (p *plan) countLoad(item Item) {
 	if item.Adapter == "" {
 		p.models++
 	} else {
@@ -155,7 +155,7 @@
 	} else if p.adapters >= p.settings.AdapterKnee {
 		return false
 	}
-	p.fly(item)
+	p.countLoad(item)
 	p.orders = append(p.orders, p.issue(p.now, l, Load, item, memory))
 	return true
 }
--- a/placement/room.go
+++ b/placement/room.go
@@ -12,7 +12,7 @@
 // the only replica of another model elsewhere instead.
 func (p *plan) makeRoom(model pool.Model) bool {
 	var best *ledger
-	var victims []Item
+	var evictable []Item
 	for _, name := range p.names {
 		l := p.ledgers[name]
 		if !p.usable(l) || p.replicas[model.Name].on(l) {
@@ -23,16 +23,16 @@
 			p.claims[name] += model.Memory
 			return false
 		}
-		items, ok := p.victims(l, need)
-		if ok && (best == nil || p.preferable(l, len(items), best, len(victims))) {
-			best, victims = l, items
+		items, ok := p.evictable(l, need)
+		if ok && (best == nil || p.preferable(l, len(items), best, len(evictable))) {
+			best, evictable = l, items
 		}
 	}
 	if best == nil {
 		return p.move(model)
 	}
 	p.claims[best.Name] += model.Memory
-	for _, item := range victims {
+	for _, item := range evictable {
 		p.unload(best, item)
 	}
 	return false
@@ -50,8 +50,8 @@
 	return l.Fenced && !other.Fenced
 }
 
-// victims returns the spare items of an endpoint, largest first, that free the memory.
-func (p *plan) victims(l *ledger, need int64) ([]Item, bool) {
+// evictable returns the spare items of an endpoint, largest first, that free the memory.
+func (p *plan) evictable(l *ledger, need int64) ([]Item, bool) {
 	spare := p.sorted(l, func(item Item) bool { return p.spare(l, item) })
 	for n, item := range spare {
 		need -= l.charged(item)
