--- a/call/begin.go
+++ b/call/begin.go
@@ -94,11 +94,18 @@
 func (b *beginning) failed(err error) step {
 	b.failures++
 	if b.failures >= maxFailures {
-		return decided{Unknown{err}}
+		return b.unrecorded(err)
 	}
 	return read{}
 }
 
+// unrecorded gives up; the attempt is not sent, but its intent may still take effect.
+func (b *beginning) unrecorded(err error) decided {
+	attempt := b.attempt
+	attempt.revision = b.at
+	return decided{Unrecorded{attempt, err}}
+}
+
 func (b *beginning) proceed(revision int64) step {
 	b.attempt.revision = revision
 	return decided{Proceed{b.attempt}}
--- a/call/call.go
+++ b/call/call.go
@@ -71,6 +71,15 @@
 // same key may have been sent.
 type Refused struct{ Cause error }
 
+// Unrecorded means that the attempt is not sent because the table service does not say
+// whether its intent was recorded. Settle makes sure that the intent does not stay.
+type Unrecorded struct {
+	Attempt Attempt
+	Cause   error
+}
+
+func (Unrecorded) decision() {}
+
 func (Proceed) decision()  {}
 func (Replay) decision()   {}
 func (Busy) decision()     {}
--- a/call/calls.go
+++ b/call/calls.go
@@ -78,11 +78,17 @@
 	case decided:
 		return end.decision
 	case closed:
-		return Unknown{end.err}
+		return b.unrecorded(end.err).decision
 	}
 	return Unknown{}
 }
 
+// Settle makes sure that the intent of an attempt that was never sent does not stay, so that its key may
+// be used again. It tries until ctx ends; its errors are those of Finish.
+func (c *Calls) Settle(ctx context.Context, a Attempt) error {
+	return c.close(ctx, &settling{attempt: a, at: a.revision})
+}
+
 // Finish records the outcome, trying until ctx ends. It returns ErrTooLarge without
 // trying, ErrClosed, or the last error of the table service. The caller is given the
 // outcome in any case.
@@ -103,8 +109,15 @@
 // ends; its errors are those of Finish.
 func (c *Calls) Lose(ctx context.Context, a Attempt) error { return c.close(ctx, a.close(Lost, nil)) }
 
-func (c *Calls) close(ctx context.Context, m *closing) error {
-	if end, ok := c.run(ctx, m, m.attempt.row, m.start()).(closed); ok {
+// ending is a machine that ends an attempt.
+type ending interface {
+	machine
+	start() step
+	row() string
+}
+
+func (c *Calls) close(ctx context.Context, m ending) error {
+	if end, ok := c.run(ctx, m, m.row(), m.start()).(closed); ok {
 		return end.err
 	}
 	return nil
--- a/call/close.go
+++ b/call/close.go
@@ -14,6 +14,8 @@
 	return &closing{a, record{State: s, Host: a.host, Attempt: a.ID, Request: a.request, Outcome: o}}
 }
 
+func (c *closing) row() string { return c.attempt.row }
+
 func (c *closing) start() step { return write(c.attempt.row, c.attempt.revision, c.result) }
 
 func (c *closing) committed(r table.Result, err error) step {
--- /dev/null
+++ b/caller/models.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"magnoliahoist/route"
+	"magnoliahoist/state"
+)
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// listModels answers /v1/models with the routes that the caller may use.
+func (s *Server) listModels(w http.ResponseWriter, r *http.Request) {
+	if !s.backend.Fresh() {
+		refusalFor(state.Stale, state.RunNo, 0).write(w)
+		return
+	}
+	view := s.backend.View()
+	name := ""
+	if key := bearer(r); key != "" {
+		known, issued := view.KeyByDigest(digestOf(key))
+		if !issued || known.Withdrawn {
+			refusalFor(state.UnknownKey, state.RunNo, 0).write(w)
+			return
+		}
+		name = known.Account
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, entry := range view.Routes() {
+		if entry.Kind == route.Model && entry.Allows(name) {
+			list.Data = append(list.Data, modelEntry{entry.Name, "model", entry.Pool})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,206 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"hash/maphash"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"magnoliahoist/account"
+	"magnoliahoist/replica"
+	"magnoliahoist/state"
+)
+
+const (
+	bytesPerToken = 4   // of a prompt, for the estimate of its cost
+	prefixBytes   = 512 // of a prompt's beginning, for prefix affinity
+	maxKeyBytes   = 256 // of an idempotency key
+)
+
+// prefixSeed is the same in all requests of a process; affinity needs no agreement between hosts
+// beyond what the endpoints' reports bring.
+var prefixSeed = maphash.MakeSeed()
+
+// idSource counts requests.
+type idSource struct{ last atomic.Uint64 }
+
+func (s *idSource) next() uint64 { return s.last.Add(1) }
+
+// bearer returns the key of a request; only the Authorization header is read.
+func bearer(r *http.Request) string {
+	scheme, key, found := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+func digestOf(key string) string {
+	if key == "" {
+		return ""
+	}
+	return account.Digest(key)
+}
+
+// readBody reads a body up to the limit.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Body))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the limit", state.RunNo, 0}
+	default:
+		refused := badRequest("incomplete_body", "the body could not be read whole")
+		return nil, &refused
+	}
+}
+
+// carriesKey reports whether a caller's key stands where it would be passed on to an endpoint.
+func carriesKey(view *replica.View, key string, target *url.URL, header http.Header, body []byte) bool {
+	if key != "" && bytes.Contains(body, []byte(key)) {
+		return true
+	}
+	for _, values := range header {
+		if isKey(view, key, values[0]) {
+			return true
+		}
+	}
+	for _, values := range target.Query() {
+		for _, value := range values {
+			if isKey(view, key, value) {
+				return true
+			}
+		}
+	}
+	for segment := range strings.SplitSeq(target.Path, "/") {
+		if isKey(view, key, segment) {
+			return true
+		}
+	}
+	return false
+}
+
+func isKey(view *replica.View, key, value string) bool {
+	if value == "" {
+		return false
+	}
+	if key != "" && strings.Contains(value, key) {
+		return true
+	}
+	_, known := view.KeyByDigest(account.Digest(value))
+	return known
+}
+
+// completion is what the host reads of a completion request; all else is passed on as it came.
+type completion struct {
+	model  string
+	stream bool
+	limit  int64
+	prompt []byte
+	fields map[string]json.RawMessage
+}
+
+// Names of the fields that the host reads or writes.
+const (
+	fieldModel               = "model"
+	fieldAdapter             = "adapter"
+	fieldStream              = "stream"
+	fieldMaxTokens           = "max_tokens"
+	fieldMaxCompletionTokens = "max_completion_tokens"
+	fieldPrompt              = "prompt"
+	fieldMessages            = "messages"
+	fieldChoices             = "n"
+	fieldBestOf              = "best_of"
+)
+
+// parseCompletion reads a completion or chat request.
+func parseCompletion(body []byte) (completion, *refusal) {
+	var c completion
+	if err := json.Unmarshal(body, &c.fields); err != nil {
+		return c, malformed("the body is not a JSON object")
+	}
+	if err := json.Unmarshal(c.fields[fieldModel], &c.model); err != nil || c.model == "" {
+		return c, malformed("model must be the name of a route")
+	}
+	if refused := c.readOptions(); refused != nil {
+		return c, refused
+	}
+	c.prompt = c.fields[fieldPrompt]
+	if messages := c.fields[fieldMessages]; len(messages) > 0 {
+		c.prompt = messages
+	}
+	if len(c.prompt) == 0 {
+		return c, malformed("prompt or messages is required")
+	}
+	return c, nil
+}
+
+func (c *completion) readOptions() *refusal {
+	if raw := c.fields[fieldStream]; len(raw) > 0 && json.Unmarshal(raw, &c.stream) != nil {
+		return malformed("stream must be true or false")
+	}
+	for _, field := range []string{fieldMaxTokens, fieldMaxCompletionTokens} {
+		raw := c.fields[field]
+		if len(raw) == 0 || string(raw) == "null" {
+			continue
+		}
+		if err := json.Unmarshal(raw, &c.limit); err != nil || c.limit <= 0 {
+			return malformed(field + " must be a whole number above 0")
+		}
+	}
+	// Several answers to one call would cost a multiple of the bound that is taken from the allowance.
+	for _, field := range []string{fieldChoices, fieldBestOf} {
+		if raw := c.fields[field]; len(raw) > 0 && string(raw) != "1" && string(raw) != "null" {
+			return malformed(field + " must be 1")
+		}
+	}
+	return nil
+}
+
+func malformed(message string) *refusal {
+	refused := badRequest("malformed_request", message)
+	return &refused
+}
+
+// promptTokens is the estimate of what the prompt costs.
+func (c completion) promptTokens() int64 {
+	return int64(len(c.prompt)/bytesPerToken) + 1
+}
+
+// prefix returns the hash of the prompt's beginning.
+func (c completion) prefix() uint64 {
+	return maphash.Bytes(prefixSeed, c.prompt[:min(len(c.prompt), prefixBytes)])
+}
+
+// bodyFor returns the body for an endpoint: the model as the pool names it, and the bounded number of tokens.
+func (c completion) bodyFor(model, adapter string, limit int64) ([]byte, error) {
+	encoded, err := json.Marshal(model)
+	if err != nil {
+		return nil, err
+	}
+	bound, err := json.Marshal(limit)
+	if err != nil {
+		return nil, err
+	}
+	fields := make(map[string]json.RawMessage, len(c.fields)+1)
+	for key, value := range c.fields {
+		fields[key] = value
+	}
+	delete(fields, fieldMaxCompletionTokens)
+	fields[fieldModel] = encoded
+	fields[fieldMaxTokens] = bound
+	delete(fields, fieldAdapter)
+	if adapter != "" {
+		if fields[fieldAdapter], err = json.Marshal(adapter); err != nil {
+			return nil, err
+		}
+	}
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/caller/serve.go
@@ -0,0 +1,102 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	"magnoliahoist/call"
+	"magnoliahoist/endpoint"
+	"magnoliahoist/state"
+)
+
+// task is one request on its way through the host.
+type task struct {
+	id     uint64
+	name   string // of the request, unique over hosts
+	arrive state.Arrive
+	key    string      // idempotency key
+	digest call.Digest // of what an at-most-once call asks for
+	build  func(send state.Send) (outgoing, error)
+	once   *onceCall
+}
+
+// answer is what came back for an attempt.
+type answer struct {
+	event   state.Finished
+	started bool // something was handed to the caller
+}
+
+// serve drives a request from its arrival to its answer.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, t task) {
+	timed, stop := context.WithTimeoutCause(r.Context(), s.limits.Call, reasonError(state.TimedOut))
+	defer stop()
+	ctx, cancel := context.WithCancelCause(timed)
+	defer cancel(nil)
+	w.Header().Set(idHeader, t.name)
+	inbox := s.backend.Open(t.arrive, cancel)
+	defer s.backend.Close(t.id)
+	for {
+		select {
+		case <-ctx.Done():
+			s.backend.Apply(state.Left{Request: t.id})
+			s.endOnce(&t, state.RunNo)
+			refuseCut(ctx, w)
+			return
+		case effect := <-inbox:
+			if s.step(ctx, w, &t, effect) {
+				return
+			}
+		}
+	}
+}
+
+// step carries out one effect and reports whether the request has been answered.
+func (s *Server) step(ctx context.Context, w http.ResponseWriter, t *task, effect state.Effect) bool {
+	switch e := effect.(type) {
+	case state.Begin:
+		return s.beginOnce(ctx, w, t, e)
+	case state.Send:
+		done := s.attempt(ctx, w, t, e)
+		s.backend.Apply(done.event)
+		if done.started {
+			return true
+		}
+		if done.event.Outcome == endpoint.Cancelled {
+			s.endOnce(t, runOf(done.event.Sent))
+			refuseCutRun(ctx, w, runOf(done.event.Sent))
+			return true
+		}
+		return false
+	case state.Refuse:
+		s.endOnce(t, e.Run)
+		refusalFor(e.Reason, e.Run, e.Retry).write(w)
+		return true
+	default:
+		return false
+	}
+}
+
+func runOf(sent bool) state.Run {
+	if sent {
+		return state.RunUnknown
+	}
+	return state.RunNo
+}
+
+// reasonError carries a reason as the cause of a cancelled context.
+type reasonError state.Reason
+
+// Error names the reason.
+func (e reasonError) Error() string { return state.Reason(e).String() }
+
+// CauseOf returns the cause with which the host cancels a request.
+func CauseOf(reason state.Reason) error { return reasonError(reason) }
+
+func refuseCut(ctx context.Context, w http.ResponseWriter) { refuseCutRun(ctx, w, state.RunNo) }
+
+// refuseCutRun answers a request that the host ended; a caller that has gone gets nothing.
+func refuseCutRun(ctx context.Context, w http.ResponseWriter, run state.Run) {
+	if reason, cut := context.Cause(ctx).(reasonError); cut {
+		refusalFor(state.Reason(reason), run, 0).write(w)
+	}
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,76 @@
+// Package caller is the HTTP interface towards callers.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	goji "goji.io"
+	"goji.io/pat"
+
+	"magnoliahoist/call"
+	"magnoliahoist/object"
+	"magnoliahoist/replica"
+	"magnoliahoist/state"
+)
+
+// Backend is the host behind the interface.
+type Backend interface {
+	// Open takes a request. Begin, Send and Refuse effects come over the channel; cancel is called on a Cut.
+	Open(arrive state.Arrive, cancel context.CancelCauseFunc) <-chan state.Effect
+	// Close forgets a request.
+	Close(request uint64)
+	// Apply reports an event.
+	Apply(event state.Event)
+	// Now returns the monotonic time of the host's events.
+	Now() time.Duration
+	// View returns the shared state as the host knows it.
+	View() *replica.View
+	// Fresh reports whether the host may rely on the shared state.
+	Fresh() bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	Body int64         // bytes of a request's body
+	Call time.Duration // whole call
+}
+
+// Server answers callers.
+type Server struct {
+	backend Backend
+	calls   *call.Calls
+	limits  Limits
+	host    string // prefix of request ids
+	sender  *sender
+	log     hclog.Logger
+	ids     idSource
+	objects *object.Client
+	closing sync.WaitGroup
+}
+
+// New returns a server for callers; host is the id of this host's member.
+func New(backend Backend, calls *call.Calls, objects *object.Client, limits Limits, host string, log hclog.Logger) *Server {
+	return &Server{
+		backend: backend,
+		calls:   calls,
+		objects: objects,
+		limits:  limits,
+		host:    host,
+		sender:  newSender(),
+		log:     log.Named("caller"),
+	}
+}
+
+// Handler returns the routes of the interface.
+func (s *Server) Handler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get("/v1/models"), s.listModels)
+	mux.HandleFunc(pat.Post("/v1/completions"), s.complete)
+	mux.HandleFunc(pat.Post("/v1/chat/completions"), s.complete)
+	mux.HandleFunc(pat.New("/*"), s.service)
+	return mux
+}
--- /dev/null
+++ b/caller/stream.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"magnoliahoist/endpoint"
+	"magnoliahoist/state"
+)
+
+// maxResumes is how often a stream that was cut is taken up again at the same endpoint.
+const maxResumes = 2
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// firstOffset is the offset of a stream's first event.
+const firstOffset = 1
+
+// usageField marks the event in which the endpoint states the tokens of the answer.
+const usageField = `"usage":{`
+
+// doneMark ends a complete stream.
+const doneMark = "[DONE]"
+
+// Errors of an endpoint's stream.
+var (
+	errCut     = errors.New("caller: stream ended before it was complete")
+	errCrossed = errors.New("caller: stream carries an event of another attempt")
+	errGap     = errors.New("caller: stream lacks an event")
+	errCaller  = errors.New("caller: unable to write to the caller")
+)
+
+// relay copies one endpoint's stream to the caller and keeps count of what passed.
+type relay struct {
+	w       http.ResponseWriter
+	flusher http.Flusher
+	attempt string
+	next    int64 // offset of the event that is expected
+	tokens  int64 // generated, as far as known
+	started bool
+	done    bool
+}
+
+// stream hands the events of an attempt to the caller, taking up a cut stream where it broke.
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, t *task, send state.Send, id string, out outgoing, response *http.Response) answer {
+	flusher, _ := w.(http.Flusher)
+	relay := &relay{w: w, flusher: flusher, attempt: id, next: firstOffset}
+	err := relay.copy(response.Body)
+	for resumes := 0; errors.Is(err, errCut) && ctx.Err() == nil && resumes < maxResumes; resumes++ {
+		err = s.resume(ctx, relay, send, id, out)
+	}
+	finished := state.Finished{Request: t.id, Sent: true, Used: t.arrive.Prompt + relay.tokens, Outcome: endpoint.Done}
+	switch {
+	case relay.done:
+		return answer{event: finished, started: true}
+	case ctx.Err() != nil || errors.Is(err, errCaller):
+		finished.Outcome = endpoint.Cancelled
+	default:
+		finished.Outcome = endpoint.Cut
+		finished.Retry = !relay.started
+	}
+	if relay.started {
+		relay.fail(ctx)
+	}
+	return answer{event: finished, started: relay.started}
+}
+
+// resume asks the endpoint for the events after the last one that passed.
+func (s *Server) resume(ctx context.Context, relay *relay, send state.Send, id string, out outgoing) error {
+	response, _, err := s.sender.send(ctx, send.Endpoint.Address, id, relay.last(), out)
+	if err != nil {
+		return errCut
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK || response.Header.Get(idHeader) != id || !isStream(response) {
+		return errCrossed
+	}
+	return relay.copy(response.Body)
+}
+
+// last is the id of the last event that passed; offset 0 asks for all.
+func (r *relay) last() string {
+	return r.attempt + ":" + strconv.FormatInt(r.next-1, 10)
+}
+
+// copy passes events on until the stream is complete or breaks.
+func (r *relay) copy(body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	var id, data []byte
+	for lines.Scan() {
+		line := lines.Bytes()
+		switch {
+		case len(line) == 0:
+			if len(data) == 0 {
+				continue
+			}
+			if err := r.event(id, data); err != nil || r.done {
+				return err
+			}
+			id, data = id[:0], data[:0]
+		case bytes.HasPrefix(line, []byte("id:")):
+			id = append(id[:0], bytes.TrimSpace(line[3:])...)
+		case bytes.HasPrefix(line, []byte("data:")):
+			data = append(data[:0], bytes.TrimSpace(line[5:])...)
+		}
+	}
+	return errCut
+}
+
+// event checks that an event is the next one of this attempt and passes it on.
+func (r *relay) event(id, data []byte) error {
+	attempt, offset, found := bytes.Cut(id, []byte(":"))
+	if !found || string(attempt) != r.attempt {
+		return errCrossed
+	}
+	at, err := strconv.ParseInt(string(offset), 10, 64)
+	if err != nil || at > r.next {
+		return errGap
+	}
+	if at < r.next {
+		return nil // passed before the stream was cut
+	}
+	r.next++
+	r.done = string(data) == doneMark
+	r.count(data)
+	return r.pass(data)
+}
+
+// count keeps the number of generated tokens: one an event, until the endpoint states it.
+func (r *relay) count(data []byte) {
+	if r.done {
+		return
+	}
+	r.tokens++
+	var parsed usageBody
+	if bytes.Contains(data, []byte(usageField)) && json.Unmarshal(data, &parsed) == nil && parsed.Usage.CompletionTokens > 0 {
+		r.tokens = parsed.Usage.CompletionTokens
+	}
+}
+
+func (r *relay) pass(data []byte) error {
+	if !r.started {
+		r.started = true
+		r.w.Header().Set("Content-Type", "text/event-stream")
+		r.w.Header().Set("Cache-Control", "no-cache")
+		r.w.WriteHeader(http.StatusOK)
+	}
+	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
+		if _, err := r.w.Write(part); err != nil {
+			return errCaller
+		}
+	}
+	if r.flusher != nil {
+		r.flusher.Flush()
+	}
+	return nil
+}
+
+// fail ends a stream that has begun with an explicit error instead of the mark of completion.
+func (r *relay) fail(ctx context.Context) {
+	reason := state.Failed
+	if cause, cut := context.Cause(ctx).(reasonError); cut {
+		reason = state.Reason(cause)
+	}
+	r.pass(refusalFor(reason, state.RunYes, 0).body())
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -12,7 +12,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 
-	"magnoliahoist/config"
+	"magnoliahoist/dev"
+	"magnoliahoist/host"
 )
 
 // Exit statuses.
@@ -22,13 +23,6 @@
 	exitUsage  = 2
 )
 
-// Hooks carry out the commands that run hosts. The context ends when the process is asked
-// to stop; a hook that is nil is not built in.
-type Hooks struct {
-	Host func(ctx context.Context, settings config.Host, errs io.Writer) error
-	Dev  func(ctx context.Context, directory string, errs io.Writer) error
-}
-
 // commands is the grammar of the command line.
 type commands struct {
 	remote
@@ -36,6 +30,7 @@
 
 	Host     hostCommand     `cmd:"" help:"Run an entry host."`
 	Dev      devCommand      `cmd:"" help:"Run everything in one process with example tables."`
+	Standin  standinCommand  `cmd:"" hidden:"" help:"Run a stand-in for a service of the platform or for an endpoint."`
 	Check    checkCommand    `cmd:"" help:"Check tables and settings without a host."`
 	Apply    applyCommand    `cmd:"" help:"Replace tables and wait until they are in force."`
 	Get      getCommand      `cmd:"" help:"Print a table."`
@@ -51,10 +46,10 @@
 // exit leaves the parser after it has printed help.
 type exit int
 
-// Run carries out the command line without hooks and returns the exit status:
+// Run carries out the command line and returns the exit status:
 // 0 done, 1 refused or failed, 2 wrong use.
 func Run(args []string, out, errs io.Writer) int {
-	return Hooks{}.Run(args, out, errs)
+	return Hooks{Host: host.Run, Dev: dev.Run, Standin: dev.RunStandin}.Run(args, out, errs)
 }
 
 // Run carries out the command line and returns the exit status:
--- /dev/null
+++ b/cli/hooks.go
@@ -0,0 +1,16 @@
+package cli
+
+import (
+	"context"
+	"io"
+
+	"magnoliahoist/config"
+)
+
+// Hooks carry out the commands that run hosts and stand-ins. The context ends when the process is
+// asked to stop; a hook that is nil is not built in.
+type Hooks struct {
+	Host    func(ctx context.Context, settings config.Host, out, errs io.Writer) error
+	Dev     func(ctx context.Context, out, errs io.Writer) error
+	Standin func(ctx context.Context, kind, listen, options string, out io.Writer) error
+}
--- a/cli/host.go
+++ b/cli/host.go
@@ -22,17 +22,29 @@
 	if s.hooks.Host == nil {
 		return errors.Annotate(errNotBuilt, "cli: unable to run a host")
 	}
-	return s.hooks.Host(s.ctx, settings, s.errs)
+	return s.hooks.Host(s.ctx, settings, s.out, s.errs)
 }
 
-type devCommand struct {
-	Directory string `default:"contrib/kyushu" placeholder:"DIRECTORY" help:"Directory with routes.json, pools.json and host-*.json."`
-}
+type devCommand struct{}
 
 // Run runs everything in one process until it is asked to stop.
 func (c devCommand) Run(s *session) error {
 	if s.hooks.Dev == nil {
 		return errors.Annotate(errNotBuilt, "cli: unable to run everything in one process")
 	}
-	return s.hooks.Dev(s.ctx, c.Directory, s.errs)
+	return s.hooks.Dev(s.ctx, s.out, s.errs)
+}
+
+type standinCommand struct {
+	Kind    string `arg:"" help:"table, objects, hosts, weights, engine or service."`
+	Listen  string `default:"127.0.0.1:0" placeholder:"ADDRESS" help:"Address to listen on."`
+	Options string `placeholder:"JSON" help:"Options of the stand-in."`
+}
+
+// Run runs a stand-in for a service of the platform or an endpoint until the process is asked to stop.
+func (c standinCommand) Run(s *session) error {
+	if s.hooks.Standin == nil {
+		return errors.Annotate(errNotBuilt, "cli: unable to run a stand-in")
+	}
+	return s.hooks.Standin(s.ctx, c.Kind, c.Listen, c.Options, s.out)
 }
--- a/document/duration.go
+++ b/document/duration.go
@@ -32,3 +32,6 @@
 
 // String writes a duration such as "250ms".
 func (d Duration) String() string { return time.Duration(d).String() }
+
+// Std returns the duration as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/endpoint/inspect.go
@@ -0,0 +1,29 @@
+package endpoint
+
+import "time"
+
+// Status is what a view knows of one endpoint.
+type Status struct {
+	Endpoint Endpoint
+	Running  int // calls of this host
+	Models   []string
+	Ejected  bool
+	Leaving  bool
+}
+
+// Inspect returns what is known of every endpoint.
+func (v *View) Inspect(now time.Duration) []Status {
+	var list []Status
+	for i := range v.entries {
+		e := &v.entries[i]
+		if e.gone {
+			continue
+		}
+		status := Status{Endpoint: e.Endpoint, Running: e.calls, Ejected: now < e.until, Leaving: e.leaving}
+		for _, held := range e.holding {
+			status.Models = append(status.Models, held.Model)
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- a/replica/accept.go
+++ b/replica/accept.go
@@ -15,6 +15,14 @@
 	}
 }
 
+// AppliedBy returns the revision that a member is known to have applied.
+func (r *Replica) AppliedBy(member string) int64 {
+	if member == r.id {
+		return r.view.Revision()
+	}
+	return r.acked[member]
+}
+
 // applied reports whether the member has applied the revision, as far as known.
 func (r *Replica) applied(member string, revision int64) bool {
 	if member == r.id {
--- /dev/null
+++ b/state/dispatch.go
@@ -0,0 +1,129 @@
+package state
+
+import (
+	"time"
+
+	"magnoliahoist/endpoint"
+	"magnoliahoist/queue"
+	"magnoliahoist/route"
+)
+
+// dispatch sends queued requests of a pool for which there are tokens and an endpoint.
+func (s *State) dispatch(now time.Duration, p *poolState) {
+	if !s.replica.Fresh(now) {
+		return
+	}
+	for {
+		picked := -1
+		item, found := p.queue.Next(now, func(i queue.Item) bool {
+			r := s.requests[i.ID]
+			if !s.affordable(now, r) {
+				return false
+			}
+			index, available := p.view.Pick(now, s.want(p, r))
+			picked = index
+			return available
+		})
+		if !found {
+			return
+		}
+		r := s.requests[item.ID]
+		receipt, taken := s.accounts[r.account.Name].ledger.Take(now, r.bound)
+		if !taken {
+			s.refuse(r, RateLimited, 0)
+			continue
+		}
+		r.receipt = receipt
+		s.send(now, p, r, picked)
+	}
+}
+
+// want describes the endpoint that a request needs.
+func (s *State) want(p *poolState, r *request) endpoint.Want {
+	want := endpoint.Want{Pool: p.pool.Name, Domain: s.settings.Domain, Tokens: r.bound, Exclude: r.excluded()}
+	if r.route.Kind == route.Model {
+		want.Model, want.Adapter, want.Version, want.Prefix = r.route.Model, r.route.Adapter, r.route.Version, r.Prefix
+	}
+	return want
+}
+
+func (s *State) send(now time.Duration, p *poolState, r *request, index int) {
+	r.phase = running
+	r.endpoint = index
+	r.attempts++
+	p.view.Start(now, index, r.bound)
+	s.emit(Send{
+		Request:  r.Request,
+		Attempt:  r.attempts,
+		Account:  r.account.Name,
+		Route:    r.route,
+		Endpoint: p.view.At(index),
+		Limit:    r.limit,
+		Until:    s.replica.FreshUntil(),
+	})
+}
+
+// finished ends an attempt and, where allowed, starts the next one.
+func (s *State) finished(now time.Duration, e Finished) {
+	r := s.requests[e.Request]
+	if r == nil || r.phase != running {
+		return
+	}
+	p := s.pools[r.route.Pool]
+	s.release(now, r, e.Outcome)
+	r.sent = r.sent || e.Sent
+	if e.Outcome == endpoint.Done || e.Outcome == endpoint.Cancelled || !e.Retry {
+		s.settle(now, r, e)
+		s.dispatch(now, p)
+		return
+	}
+	if !s.retry(now, p, r, e) {
+		s.giveBack(now, r, s.unused(r, e))
+		s.refuse(r, Failed, 0)
+	}
+	s.dispatch(now, p)
+}
+
+// retry sends a request again when its route and the budget allow it.
+func (s *State) retry(now time.Duration, p *poolState, r *request, e Finished) bool {
+	if r.sent && !r.route.Repeatable() {
+		return false
+	}
+	if r.attempts >= s.settings.Attempts || !s.replica.Fresh(now) {
+		return false
+	}
+	if e.Outcome != endpoint.Refused && !p.view.AllowRetry(now) {
+		return false
+	}
+	index, available := p.view.Pick(now, s.want(p, r))
+	if !available {
+		return false
+	}
+	s.send(now, p, r, index)
+	return true
+}
+
+// settle ends a request whose answer, or the part of it that there is, was handed to the caller.
+func (s *State) settle(now time.Duration, r *request, e Finished) {
+	s.giveBack(now, r, s.unused(r, e))
+	delete(s.requests, r.Request)
+}
+
+// unused returns the tokens of the bound that were not used; what is not known counts as used.
+func (s *State) unused(r *request, e Finished) int64 {
+	if !r.sent {
+		return r.bound
+	}
+	if e.Used < 0 {
+		return 0
+	}
+	return max(r.bound-e.Used, 0)
+}
+
+// release frees the request's place at its endpoint.
+func (s *State) release(now time.Duration, r *request, outcome endpoint.Outcome) {
+	s.pools[r.route.Pool].view.Finish(now, r.endpoint, r.bound, outcome)
+	if outcome != endpoint.Done {
+		r.exclude(r.endpoint)
+	}
+}
--- /dev/null
+++ b/state/inspect.go
@@ -0,0 +1,44 @@
+package state
+
+import (
+	"time"
+
+	"magnoliahoist/endpoint"
+)
+
+// Waiting returns the number of requests in the queues.
+func (s *State) Waiting() int {
+	waiting := 0
+	for _, p := range s.pools {
+		waiting += p.queue.Len()
+	}
+	return waiting
+}
+
+// Endpoints returns what the host knows of every endpoint, by pool.
+func (s *State) Endpoints(now time.Duration) []endpoint.Status {
+	var list []endpoint.Status
+	for _, entry := range s.replica.View().Pools() {
+		if p := s.pools[entry.Name]; p != nil {
+			list = append(list, p.view.Inspect(now)...)
+		}
+	}
+	return list
+}
+
+// Ready reports whether the allowance of every account can be used: the host holds its part, or others hold all of it.
+func (s *State) Ready(now time.Duration) bool {
+	if !s.replica.Fresh(now) {
+		return false
+	}
+	for _, owner := range s.replica.View().Accounts() {
+		share, divided := s.replica.View().ShareOf(owner.Name)
+		if !divided {
+			return false
+		}
+		if want := share.PartOf(s.settings.Host); want > 0 && s.takeover.holdings.Part(now, s.replica, owner.Name) < want {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/state/reason.go
@@ -0,0 +1,35 @@
+package state
+
+//go:generate go tool stringer -type=Reason,Run -linecomment -output=reason_string.go
+
+// Reason says why a request was refused or ended.
+type Reason int
+
+// Reasons; the names are the error types that callers see.
+const (
+	NoReason     Reason = iota // none
+	Stale                      // host_not_current
+	Draining                   // host_draining
+	MissingKey                 // missing_key
+	UnknownKey                 // unknown_key
+	WithdrawnKey               // withdrawn_key
+	NotAllowed                 // route_not_allowed
+	UnknownRoute               // unknown_route
+	KeyRequired                // idempotency_key_required
+	TooLarge                   // request_exceeds_burst
+	RateLimited                // rate_limited
+	Overloaded                 // overloaded
+	NoEndpoint                 // endpoint_unavailable
+	Failed                     // endpoint_failed
+	TimedOut                   // timeout
+)
+
+// Run says whether a refused request was run.
+type Run int
+
+// Values of the X-Run header; RunNo is a promise.
+const (
+	RunNo      Run = iota // no
+	RunYes                // yes
+	RunUnknown            // unknown
+)
--- /dev/null
+++ b/state/sync.go
@@ -0,0 +1,188 @@
+package state
+
+import (
+	"time"
+
+	"magnoliahoist/endpoint"
+	"magnoliahoist/pool"
+	"magnoliahoist/queue"
+)
+
+// memberPoll is the time between two exchanges with members while the table service is out of reach.
+const memberPoll = 500 * time.Millisecond
+
+// syncState says when the host last tried to learn of changes.
+type syncState struct {
+	read    time.Duration // last read of the table service
+	members time.Duration // last exchange with the members
+	began   bool
+}
+
+// tick refuses what has waited too long, ends what may not go on, and keeps the copy of the shared state current.
+func (s *State) tick(now time.Duration) {
+	s.exchange(now)
+	s.watchMembers(now)
+	s.followHoldings(now)
+	if !s.replica.Fresh(now) {
+		s.stopAll(now, Stale)
+		return
+	}
+	for _, p := range s.pools {
+		for _, item := range p.queue.Expire(now) {
+			s.expire(now, item.ID)
+		}
+		if p.queue.Len() > 0 {
+			s.dispatch(now, p)
+		}
+	}
+}
+
+// exchange asks for changes: the table service at every poll, the members when freshness is running out.
+func (s *State) exchange(now time.Duration) {
+	if !s.sync.began || now-s.sync.read >= s.settings.Poll {
+		s.sync.began = true
+		s.sync.read = now
+		s.emit(ReadTable{After: s.replica.View().Revision()})
+	}
+	if s.replica.FreshUntil()-now > s.settings.Window/2 || now-s.sync.members < memberPoll {
+		return
+	}
+	s.sync.members = now
+	for _, member := range s.replica.View().Members() {
+		if member.ID != s.settings.Host && member.Group == s.settings.Group {
+			s.emit(SyncMember{Member: member.ID, Address: member.Address, After: s.replica.View().Revision()})
+		}
+	}
+}
+
+// expire refuses a request that has waited for its longest time.
+func (s *State) expire(now time.Duration, id uint64) {
+	r := s.requests[id]
+	if r == nil {
+		return
+	}
+	if missing := s.accounts[r.account.Name].ledger.Missing(now, r.bound); missing > 0 {
+		s.refuse(r, RateLimited, s.borrowPause(r.account.Name, missing))
+		return
+	}
+	s.refuse(r, Overloaded, minBorrowPause)
+}
+
+// stopAll refuses every waiting request and cuts every running one.
+func (s *State) stopAll(now time.Duration, reason Reason) {
+	for id, r := range s.requests {
+		s.stop(now, id, r, reason)
+	}
+}
+
+// stop ends a request that may not go on.
+func (s *State) stop(now time.Duration, id uint64, r *request, reason Reason) {
+	switch r.phase {
+	case running:
+		s.emit(Cut{Request: id, Reason: reason})
+	case queued:
+		s.pools[r.route.Pool].queue.Remove(id)
+		s.refuse(r, reason, 0)
+	case beginning:
+		s.refuse(r, reason, 0)
+	}
+}
+
+// learned takes up rows of the shared state.
+func (s *State) learned(now time.Duration, e Learned) {
+	before := s.replica.View()
+	s.replica.Settle(e.Settled)
+	if !s.replica.Learn(now, e.Started, e.Source, e.After, e.Rows) || s.replica.View() == before {
+		return
+	}
+	s.setPools(now)
+	s.updateHoldings(now)
+	s.recheck(now)
+	s.dispatchAll(now)
+}
+
+// recheck stops requests that the changed tables or keys no longer allow.
+func (s *State) recheck(now time.Duration) {
+	for id, r := range s.requests {
+		found, known := s.routeOf(r.Arrive)
+		name, reason := s.accountOf(r.Arrive, found, known)
+		if reason == NoReason && (!known || !found.Allows(name)) {
+			reason = NotAllowed
+		}
+		if reason != NoReason {
+			s.stop(now, id, r, reason)
+		}
+	}
+}
+
+// setPools takes up the pools table; requests of a pool that is gone are stopped by recheck or fail.
+func (s *State) setPools(now time.Duration) {
+	for _, entry := range s.replica.View().Pools() {
+		p := s.pools[entry.Name]
+		if p == nil {
+			p = &poolState{queue: queue.New(), view: endpoint.New(s.settings.View)}
+			s.pools[entry.Name] = p
+		}
+		p.pool = entry
+		p.view.SetEndpoints(now, endpointsOf(entry))
+		p.view.SetNamed(entry.Name, modelsOf(entry))
+		s.setLeaving(p)
+	}
+}
+
+func endpointsOf(entry pool.Pool) []endpoint.Endpoint {
+	list := make([]endpoint.Endpoint, len(entry.Endpoints))
+	for i, e := range entry.Endpoints {
+		list[i] = endpoint.Endpoint{
+			Name:    e.Name,
+			Address: e.Address,
+			Domain:  e.Domain,
+			Pool:    entry.Name,
+			Slots:   e.Slots,
+			Fenced:  e.Fenced,
+		}
+	}
+	return list
+}
+
+func modelsOf(entry pool.Pool) []string {
+	names := make([]string, len(entry.Models))
+	for i, model := range entry.Models {
+		names[i] = model.Name
+	}
+	return names
+}
+
+func (s *State) listed(e Listed) {
+	s.leaving = e.Leaving
+	for _, p := range s.pools {
+		s.setLeaving(p)
+	}
+}
+
+func (s *State) setLeaving(p *poolState) {
+	for _, e := range p.pool.Endpoints {
+		p.view.SetLeaving(e.Name, s.leaving[e.Address])
+	}
+}
+
+func (s *State) reported(now time.Duration, e Reported) {
+	p := s.pools[e.Pool]
+	if p == nil {
+		return
+	}
+	for _, load := range e.Endpoints {
+		p.view.SetReport(now, load.Endpoint, load.Report)
+		p.view.SetHolding(load.Endpoint, load.Holding)
+		p.view.SetLeaving(load.Endpoint, load.Leaving)
+	}
+	s.dispatch(now, p)
+}
+
+func (s *State) dispatchAll(now time.Duration) {
+	for _, p := range s.pools {
+		if p.queue.Len() > 0 {
+			s.dispatch(now, p)
+		}
+	}
+}
--- /dev/null
+++ b/system/fleet_test.go
@@ -0,0 +1,302 @@
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"magnoliahoist/dev"
+	"magnoliahoist/document"
+	"magnoliahoist/fakeengine"
+	"magnoliahoist/fault"
+	"magnoliahoist/operator"
+	"magnoliahoist/pool"
+	"magnoliahoist/route"
+)
+
+// Secrets of the fleet under test.
+const (
+	testSecret     = "0123456789abcdef"
+	testCredential = "fedcba9876543210"
+)
+
+// settle bounds how long the tests wait for what must happen; it is no measure of how long it takes.
+const settle = 60 * time.Second
+
+// fleet is a whole system in separate processes.
+type fleet struct {
+	t         *testing.T
+	table     *process
+	objects   *process
+	list      *process
+	engines   []*process
+	services  []*process
+	hosts     []*process
+	operators []*operator.Client
+	keys      map[string]string // by account
+}
+
+// layout says what a fleet consists of and where its links run.
+type layout struct {
+	hosts  int
+	engine dev.Options
+	fenced []bool                                            // by engine; the number of engines
+	table  func(host int, address string) string             // address at which a host finds the table service
+	edit   func(routes *route.Table, pools *pool.Table)      // changes the tables before they are applied
+	host   func(number int, settings hostSettings)           // changes a host's settings
+	link   func(kind string, number int, addr string) string // address at which endpoints are found
+}
+
+// Sizes of the test's model.
+const (
+	modelMemory  = 10 << 30
+	engineMemory = 24 << 30
+)
+
+var domains = []string{"fukuoka", "kumamoto", "nagasaki", "kagoshima"}
+
+func residents() []fakeengine.Resident {
+	return []fakeengine.Resident{{Kind: fakeengine.Model, Name: "inspect-7b", Version: "1", Memory: modelMemory}}
+}
+
+// newFleet starts all processes, applies the tables and issues a key for each account.
+func newFleet(t *testing.T, l layout) *fleet {
+	t.Helper()
+	f := &fleet{t: t, keys: map[string]string{}}
+	f.table = standin(t, "table", "table", dev.Options{})
+	f.objects = standin(t, "objects", "objects", dev.Options{})
+	f.list = standin(t, "hosts", "hosts", dev.Options{})
+	for i, fenced := range l.fenced {
+		o := l.engine
+		o.Fenced, o.Memory, o.Resident = fenced, engineMemory, residents()
+		o.Instance = fmt.Sprintf("engine-%d", i)
+		f.engines = append(f.engines, standin(t, o.Instance, "engine", o))
+	}
+	for i := range 2 {
+		f.services = append(f.services, standin(t, fmt.Sprintf("service-%d", i), "service", dev.Options{}))
+	}
+	for i := range l.hosts {
+		f.addHost(l, i)
+	}
+	f.awaitFresh()
+	f.apply(l)
+	return f
+}
+
+// addHost starts one more host.
+func (f *fleet) addHost(l layout, number int) *process {
+	f.t.Helper()
+	address := f.table.address()
+	if l.table != nil {
+		address = l.table(number, address)
+	}
+	settings := hostSettings{
+		"domain":     domains[number%len(domains)],
+		"listen":     map[string]string{"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+		"platform":   map[string]string{"table": address, "objects": f.objects.address(), "hosts": f.list.address()},
+		"secret":     testSecret,
+		"credential": testCredential,
+		"lag":        "500ms",
+	}
+	if l.host != nil {
+		l.host(number, settings)
+	}
+	h := startHost(f.t, fmt.Sprintf("host-%d-%d", number, len(f.hosts)), settings)
+	f.hosts = append(f.hosts, h)
+	f.operators = append(f.operators, operator.NewClient(h.word("operators"), testCredential, &http.Client{Timeout: 30 * time.Second}))
+	return h
+}
+
+// awaitFresh waits until every host is fresh and knows all members.
+func (f *fleet) awaitFresh() {
+	f.t.Helper()
+	for i := range f.hosts {
+		f.eventually("hosts know each other", func() bool {
+			status, err := f.operators[i].Status(context.Background())
+			return err == nil && status.State == operator.Serving && len(status.Members) == len(f.hosts)
+		})
+	}
+}
+
+func (f *fleet) tables(l layout) (route.Table, pool.Table) {
+	link := l.link
+	if link == nil {
+		link = func(_ string, _ int, address string) string { return address }
+	}
+	routes, err := route.Parse([]byte(fleetRoutes))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	pools := pool.Table{Pools: []pool.Pool{
+		{Name: "inspection", Kind: route.Model, Models: []pool.Model{{Name: "inspect-7b", Version: "1", Memory: modelMemory, Replicas: len(f.engines)}}},
+		{Name: "registry", Kind: route.Service},
+	}}
+	for i, e := range f.engines {
+		pools.Pools[0].Endpoints = append(pools.Pools[0].Endpoints, pool.Endpoint{
+			Name: fmt.Sprintf("engine-%d", i), Address: link("engine", i, e.address()), Domain: domains[i%len(domains)],
+			Memory: engineMemory, Slots: 16, Fenced: l.fenced[i],
+		})
+	}
+	for i, s := range f.services {
+		pools.Pools[1].Endpoints = append(pools.Pools[1].Endpoints, pool.Endpoint{
+			Name: fmt.Sprintf("service-%d", i), Address: link("service", i, s.address()), Domain: domains[i%len(domains)], Slots: 64,
+		})
+	}
+	return routes, pools
+}
+
+// fleetRoutes is the routes table of the tests.
+const fleetRoutes = `{"accounts": [
+  {"name": "yards", "rate": 100000, "burst": 200000}, {"name": "docks", "rate": 100000, "burst": 200000}, {"name": "small", "rate": 200, "burst": 2000}],
+ "routes": [
+  {"name": "history", "model": "inspect-7b", "pool": "inspection", "accounts": ["yards", "small"], "tokens": 400, "wait": "5s"},
+  {"name": "public", "model": "inspect-7b", "pool": "inspection", "open": true, "account": "docks", "tokens": 64, "wait": "5s"},
+  {"name": "tags", "kind": "service", "prefix": "/tags/", "pool": "registry", "accounts": ["yards"], "calls": "idempotent"},
+  {"name": "stamps", "kind": "service", "prefix": "/stamps/", "pool": "registry", "accounts": ["yards"], "calls": "once"},
+  {"name": "bookings", "kind": "service", "prefix": "/bookings/", "pool": "registry", "accounts": ["docks"], "calls": "plain"}]}`
+
+func (f *fleet) apply(l layout) {
+	f.t.Helper()
+	routes, pools := f.tables(l)
+	if l.edit != nil {
+		l.edit(&routes, &pools)
+	}
+	ctx := context.Background()
+	change, err := f.operators[0].Put(ctx, operator.Pools, "test-pools", 0, encode(f.t, pools))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := f.operators[0].Put(ctx, operator.Routes, "test-routes", change.Revision, encode(f.t, routes)); err != nil {
+		f.t.Fatal(err)
+	}
+	for _, a := range routes.Accounts {
+		f.keys[a.Name] = f.issue(a.Name).Key
+	}
+	for i := range f.hosts {
+		f.eventually("host serves", func() bool {
+			answer := f.chat(i, f.keys["yards"], "ready", 1)
+			return answer.status == http.StatusOK
+		})
+	}
+}
+
+func (f *fleet) issue(account string) operator.Issued {
+	f.t.Helper()
+	issued, err := f.operators[0].IssueKey(context.Background(), operator.Request{Account: account})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return issued
+}
+
+// eventually waits until something holds.
+func (f *fleet) eventually(what string, holds func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(settle); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("%s: not within %s", what, settle)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	run    string
+	body   string
+	header http.Header
+	err    error
+}
+
+var callers = &http.Client{Timeout: 2 * time.Minute, Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+
+// ask sends one request to a host.
+func (f *fleet) ask(host int, method, path, key, body string, header map[string]string) answer {
+	request, err := http.NewRequest(method, "http://"+f.hosts[host].word("callers")+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := callers.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header.Get("X-Run"), string(data), response.Header, err}
+}
+
+func (f *fleet) chat(host int, key, prompt string, tokens int) answer {
+	return f.ask(host, http.MethodPost, "/v1/chat/completions", key, chatBody(prompt, tokens, false), nil)
+}
+
+func (f *fleet) stamp(host int, id, body string) answer {
+	return f.ask(host, http.MethodPost, "/stamps/", f.keys["yards"], body, map[string]string{"Idempotency-Key": id})
+}
+
+func chatBody(prompt string, tokens int, stream bool) string {
+	data, _ := json.Marshal(map[string]any{
+		"model": "history", "max_tokens": tokens, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	return string(data)
+}
+
+// want is the text that the engine gives for a chat prompt.
+func want(prompt string, tokens int) string {
+	return fakeengine.Text("inspect-7b", "", fakeengine.ChatPrompt([]fakeengine.Message{{Role: "user", Content: prompt}}), tokens)
+}
+
+// setFault sets the faults of a stand-in.
+func setFault(t *testing.T, address string, faults fault.Faults) {
+	t.Helper()
+	response, err := http.Post("http://"+address+"/fault", "application/json", bytes.NewReader(encode(t, faults)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= 300 {
+		data, _ := io.ReadAll(response.Body)
+		t.Fatalf("fault: %s %s", response.Status, data)
+	}
+}
+
+// get reads JSON from a stand-in.
+func get(t *testing.T, address, path string, into any) {
+	t.Helper()
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func encode(t *testing.T, value any) []byte {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// quick is an engine that answers at once.
+var quick = dev.Options{Slots: 16}
+
+// slow is an engine whose streams last long enough to be disturbed.
+var slow = dev.Options{Slots: 16, Token: document.Duration(20 * time.Millisecond)}
--- /dev/null
+++ b/system/key_test.go
@@ -0,0 +1,163 @@
+package system_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/fault"
+)
+
+// openStream begins a stream and returns its lines; the channel closes at its end.
+func (f *fleet) openStream(host int, key, prompt string, tokens int) (<-chan string, context.CancelFunc) {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+f.hosts[host].word("callers")+"/v1/chat/completions", strings.NewReader(chatBody(prompt, tokens, true)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := callers.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	lines := make(chan string, 4096)
+	go func() {
+		defer close(lines)
+		defer response.Body.Close()
+		for scanner := bufio.NewScanner(response.Body); scanner.Scan(); {
+			lines <- scanner.Text()
+		}
+	}()
+	return lines, cancel
+}
+
+// rest returns what is left of a stream and fails when it does not end.
+func (f *fleet) rest(lines <-chan string) string {
+	f.t.Helper()
+	var all strings.Builder
+	deadline := time.After(settle)
+	for {
+		select {
+		case line, open := <-lines:
+			if !open {
+				return all.String()
+			}
+			all.WriteString(line + "\n")
+		case <-deadline:
+			f.t.Fatal("the stream did not end")
+		}
+	}
+}
+
+// Guards against a withdrawn key that goes on working: for new requests on any host, also one that is
+// cut off from the table service, and for streams that run.
+func TestProveWithdrawnKey(t *testing.T) {
+	c := qt.New(t)
+	var links []*link
+	f := newFleet(t, layout{hosts: 5, engine: slow, fenced: []bool{true, true},
+		table: func(host int, address string) string {
+			links = append(links, newLink(t, address))
+			return links[host].address()
+		}})
+	issued := f.issue("yards")
+	streams := make([]<-chan string, len(f.hosts))
+	for host := range f.hosts {
+		lines, cancel := f.openStream(host, issued.Key, "long", 400)
+		defer cancel()
+		streams[host] = lines
+	}
+	links[4].cut()
+	links[3].cutIn()
+	change, err := f.operators[0].WithdrawKey(context.Background(), issued.ID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(change.Accepted, qt.IsTrue)
+	for host := range f.hosts {
+		ended := f.rest(streams[host])
+		_, complete := streamText(ended)
+		c.Assert(complete, qt.IsFalse)
+		c.Assert(ended, qt.Contains, `"type":"withdrawn_key"`)
+		answer := f.chat(host, issued.Key, "again", 1)
+		c.Assert(answer.status, qt.Equals, http.StatusUnauthorized, qt.Commentf("%+v", answer))
+		c.Assert(answer.run, qt.Equals, "no")
+		c.Assert(f.chat(host, f.keys["yards"], "other key", 1).status, qt.Equals, http.StatusOK)
+	}
+}
+
+// Guards against traffic that stops with the table service, and against a host that goes on although it
+// is cut off from the table service and from all others.
+func TestProveTableServiceDown(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 3, engine: quick, fenced: []bool{true}})
+	setFault(t, f.table.address(), fault.Faults{Down: true})
+	time.Sleep(4 * time.Second) // longer than the window
+	for host := range f.hosts {
+		c.Assert(f.chat(host, f.keys["yards"], "table service is down", 5).status, qt.Equals, http.StatusOK)
+		answer := f.stamp(host, "down-1", "{}")
+		c.Assert(answer.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%+v", answer))
+		c.Assert(answer.run, qt.Equals, "no")
+	}
+	f.hosts[0].freeze()
+	f.hosts[1].freeze()
+	time.Sleep(4 * time.Second)
+	answer := f.chat(2, f.keys["yards"], "alone", 5)
+	c.Assert(answer.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%+v", answer))
+	c.Assert(answer.run, qt.Equals, "no")
+	c.Assert(answer.body, qt.Contains, "host_not_current")
+	f.hosts[0].thaw()
+	f.hosts[1].thaw()
+	f.eventually("hosts serve again", func() bool {
+		return f.chat(2, f.keys["yards"], "again", 5).status == http.StatusOK
+	})
+	setFault(t, f.table.address(), fault.Faults{})
+	f.eventually("stamps work again", func() bool { return f.stamp(1, "down-1", "{}").status == http.StatusOK })
+	c.Assert(f.executions("down-1"), qt.Equals, 1)
+}
+
+// Guards against a key that reaches an endpoint in any place of a request.
+func TestProveNoKeyAtEndpoints(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 1, engine: quick, fenced: []bool{true}})
+	key := f.keys["yards"]
+	places := map[string]struct {
+		path, body string
+		header     map[string]string
+		status     int
+	}{
+		"header":    {"/tags/1", "", map[string]string{"X-Api-Key": key, "Api-Key": key, "Proxy-Authorization": "Bearer " + key}, http.StatusOK},
+		"cookie":    {"/tags/2", "", map[string]string{"Cookie": "key=" + key}, http.StatusOK},
+		"referer":   {"/tags/3", "", map[string]string{"Referer": "http://x/?key=" + key, "User-Agent": key}, http.StatusOK},
+		"query":     {"/tags/4?api_key=" + key, "", nil, http.StatusBadRequest},
+		"path":      {"/tags/" + key, "", nil, http.StatusBadRequest},
+		"body":      {"/tags/5", `{"key": "` + key + `"}`, nil, http.StatusBadRequest},
+		"other key": {"/tags/6?token=" + f.keys["small"], "", nil, http.StatusBadRequest},
+		"allowed":   {"/tags/7", "", map[string]string{"Accept": key}, http.StatusBadRequest},
+	}
+	for name, place := range places {
+		c.Run(name, func(c *qt.C) {
+			answer := f.ask(0, http.MethodGet, place.path, key, place.body, place.header)
+			c.Check(answer.status, qt.Equals, place.status, qt.Commentf("%+v", answer))
+		})
+	}
+	f.chat(0, key, "no key here", 3)
+	for _, endpoint := range append(f.services, f.engines...) {
+		for _, path := range []string{"/debug/headers", "/debug/requests"} {
+			var seen any
+			if response, err := http.Get("http://" + endpoint.address() + path); err == nil {
+				if json.NewDecoder(response.Body).Decode(&seen) == nil {
+					data, _ := json.Marshal(seen)
+					c.Assert(string(data), qt.Not(qt.Contains), key)
+				}
+				response.Body.Close()
+			}
+		}
+	}
+	c.Assert(f.hosts[0].log.String(), qt.Not(qt.Contains), key)
+}
--- /dev/null
+++ b/system/path_test.go
@@ -0,0 +1,82 @@
+package system_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/fakeservice"
+)
+
+// chatAnswer is what the tests read of a chat completion.
+type chatAnswer struct {
+	Choices []struct {
+		Message struct{ Content string } `json:"message"`
+		Delta   struct{ Content string } `json:"delta"`
+	} `json:"choices"`
+}
+
+func text(body string) string {
+	var parsed chatAnswer
+	if json.Unmarshal([]byte(body), &parsed) != nil || len(parsed.Choices) == 0 {
+		return ""
+	}
+	return parsed.Choices[0].Message.Content + parsed.Choices[0].Delta.Content
+}
+
+// streamText joins the text of a stream's events and reports whether the stream is complete.
+func streamText(body string) (string, bool) {
+	var all strings.Builder
+	complete := false
+	for _, line := range strings.Split(body, "\n") {
+		data, found := strings.CutPrefix(line, "data: ")
+		if data == "[DONE]" {
+			complete = true
+		} else if found {
+			all.WriteString(text(data))
+		}
+	}
+	return all.String(), complete
+}
+
+// Guards against a break anywhere on the way from callers over hosts to endpoints and the table
+// service, each in a process of its own.
+func TestWholePath(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 5, engine: quick, fenced: []bool{true, false}})
+	for host := range f.hosts {
+		answer := f.chat(host, f.keys["yards"], "whole", 20)
+		c.Assert(answer.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", answer))
+		c.Assert(text(answer.body), qt.Equals, want("whole", 20))
+
+		answer = f.ask(host, http.MethodPost, "/v1/chat/completions", f.keys["yards"], chatBody("stream", 20, true), nil)
+		streamed, complete := streamText(answer.body)
+		c.Assert(complete, qt.IsTrue, qt.Commentf("%+v", answer))
+		c.Assert(streamed, qt.Equals, want("stream", 20))
+
+		answer = f.ask(host, http.MethodGet, "/tags/4711", f.keys["yards"], "", nil)
+		c.Assert(answer.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", answer))
+
+		answer = f.stamp(host, "stamp-1", `{"ladder": 4711, "result": "passed"}`)
+		c.Assert(answer.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", answer))
+	}
+	c.Assert(f.executions("stamp-1"), qt.Equals, 1)
+}
+
+// executions returns how often the services ran the call with an idempotency key.
+func (f *fleet) executions(key string) int {
+	count := 0
+	for _, s := range f.services {
+		var calls []fakeservice.Call
+		get(f.t, s.address(), "/debug/calls", &calls)
+		for _, call := range calls {
+			if call.Key == key {
+				count += call.Count
+			}
+		}
+	}
+	return count
+}
--- a/table/batcher.go
+++ b/table/batcher.go
@@ -15,10 +15,15 @@
 // errStopped is the cause of the ErrNotSent of a batcher that has been stopped.
 var errStopped = errors.ConstError("table: the batcher has stopped")
 
+// Committer commits transactions.
+type Committer interface {
+	Commit(ctx context.Context, txn Txn) (Result, error)
+}
+
 // Batcher merges the independent transactions of many callers into one, since the table service
 // accepts only several hundred writes a second.
 type Batcher struct {
-	client *Client
+	target Committer
 	most   int
 	delay  time.Duration
 	tomb   tomb.Tomb
@@ -62,8 +67,8 @@
 }
 
 // NewBatcher returns a running batcher that waits at most the delay for up to most transactions.
-func NewBatcher(client *Client, most int, delay time.Duration) *Batcher {
-	b := &Batcher{client: client, most: max(most, 1), delay: delay, asked: make(chan *pending)}
+func NewBatcher(target Committer, most int, delay time.Duration) *Batcher {
+	b := &Batcher{target: target, most: max(most, 1), delay: delay, asked: make(chan *pending)}
 	b.tomb.Go(b.collect)
 	return b
 }
@@ -159,7 +164,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
-	result, err := b.client.Commit(ctx, whole)
+	result, err := b.target.Commit(ctx, whole)
 	// One transaction that is invalid, or whose condition fails, must not fail the others.
 	failed := err == nil && !result.Committed || errors.Is(err, errInvalid)
 	if failed && len(live) > 1 {
@@ -177,7 +182,7 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(p.ctx, batchTimeout)
 			defer cancel()
-			p.end(b.client.Commit(ctx, p.txn))
+			p.end(b.target.Commit(ctx, p.txn))
 		})
 	}
 	group.Wait()
