caller, host, timeline: record every step of a request and of a change

The time line had only sent, refused, loans and joins, so a filter by request or change told no story. The interface for callers records arrival, queueing, attempts, first token, resumption and end; the host records commits, applied changes, freshness, ejections, removals and silent members, and shows members that are gone as ended logs.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -11,6 +11,7 @@
 	"magnoliahoist/endpoint"
 	"magnoliahoist/route"
 	"magnoliahoist/state"
+	"magnoliahoist/timeline"
 )
 
 // maxAnswerBytes bounds a whole answer that is held before it is handed to the caller.
@@ -30,6 +31,7 @@
 		failed.event.Outcome = endpoint.Refused
 		return failed
 	}
+	s.sending(t, &send, id)
 	response, sent, err := s.sender.send(ctx, send.Endpoint.Address, id, "", out)
 	failed.event.Sent = sent
 	if err != nil {
@@ -93,7 +95,10 @@
 			return failed
 		}
 		used = t.arrive.Prompt + parsed.Usage.CompletionTokens
+		t.track.made = parsed.Usage.CompletionTokens
 	}
+	t.track.whole = true
+	s.attemptEvent(t, timeline.First, &send, "")
 	s.finishOnce(t, response, body)
 	writeAnswer(w, response, body)
 	return answer{
--- a/caller/once.go
+++ b/caller/once.go
@@ -8,6 +8,7 @@
 
 	"magnoliahoist/call"
 	"magnoliahoist/state"
+	"magnoliahoist/timeline"
 )
 
 const (
@@ -46,6 +47,7 @@
 		return false
 	}
 	s.backend.Apply(state.Left{Request: t.id})
+	t.track.account, t.track.route = e.Account, e.Route.Name
 	s.answerDecision(ctx, w, t, decision)
 	return true
 }
@@ -54,19 +56,28 @@
 func (s *Server) answerDecision(ctx context.Context, w http.ResponseWriter, t *task, decision call.Decision) {
 	switch d := decision.(type) {
 	case call.Replay:
+		t.track.result = resultRepeated
 		s.replay(ctx, w, d.Outcome)
 	case call.Mismatch:
-		refusal{http.StatusUnprocessableEntity, "idempotency_key_reused", "the Idempotency-Key was used for another request", state.RunNo, 0}.write(w)
+		s.refuseOnce(w, t, refusal{http.StatusUnprocessableEntity, "idempotency_key_reused", "the Idempotency-Key was used for another request", state.RunNo, 0})
 	case call.Refused:
-		refusal{http.StatusServiceUnavailable, "intent_not_recorded", "the call could not be recorded, so this request was not sent", state.RunNo, time.Second}.write(w)
+		s.refuseOnce(w, t, refusal{http.StatusServiceUnavailable, "intent_not_recorded", "the call could not be recorded, so this request was not sent", state.RunNo, time.Second})
 	case call.Unrecorded:
 		s.later(t.name, func(ctx context.Context) error { return s.calls.Settle(ctx, d.Attempt) })
-		refusal{http.StatusServiceUnavailable, "intent_not_recorded", "the call could not be recorded, so this request was not sent", state.RunNo, time.Second}.write(w)
+		s.refuseOnce(w, t, refusal{http.StatusServiceUnavailable, "intent_not_recorded", "the call could not be recorded, so this request was not sent", state.RunNo, time.Second})
 	default:
-		refusal{http.StatusConflict, "outcome_unknown", "a call with this Idempotency-Key was sent and its outcome is not known; it is not sent again", state.RunUnknown, 0}.write(w)
+		s.refuseOnce(w, t, refusal{http.StatusConflict, "outcome_unknown", "a call with this Idempotency-Key was sent and its outcome is not known; it is not sent again", state.RunUnknown, 0})
 	}
 }
 
+// refuseOnce answers a call that is not sent with a refusal.
+func (s *Server) refuseOnce(w http.ResponseWriter, t *task, r refusal) {
+	t.track.result = resultRefused
+	s.event(t, timeline.Refused, r.kind+", run: "+r.run.String())
+	s.backend.CountRefusal(t.track.account, r.kind)
+	r.write(w)
+}
+
 // replay answers with the first outcome.
 func (s *Server) replay(ctx context.Context, w http.ResponseWriter, outcome call.Outcome) {
 	body := outcome.Body
--- a/caller/request.go
+++ b/caller/request.go
@@ -49,7 +49,7 @@
 
 // readBody reads a body up to the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Body))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Load().Body))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -7,6 +7,7 @@
 	"magnoliahoist/call"
 	"magnoliahoist/endpoint"
 	"magnoliahoist/state"
+	"magnoliahoist/timeline"
 )
 
 // task is one request on its way through the host.
@@ -18,6 +19,7 @@
 	digest call.Digest // of what an at-most-once call asks for
 	build  func(send state.Send) (outgoing, error)
 	once   *onceCall
+	track  track
 }
 
 // answer is what came back for an attempt.
@@ -28,13 +30,18 @@
 
 // serve drives a request from its arrival to its answer.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, t task) {
-	timed, stop := context.WithTimeoutCause(r.Context(), s.limits.Call, reasonError(state.TimedOut))
+	timed, stop := context.WithTimeoutCause(r.Context(), s.limits.Load().Call, reasonError(state.TimedOut))
 	defer stop()
 	ctx, cancel := context.WithCancelCause(timed)
 	defer cancel(nil)
 	w.Header().Set(idHeader, t.name)
+	s.received(&t)
+	defer s.ended(ctx, &t)
 	inbox := s.backend.Open(t.arrive, cancel)
 	defer s.backend.Close(t.id)
+	if len(inbox) == 0 {
+		s.event(&t, timeline.Queued, "")
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -57,6 +64,7 @@
 		return s.beginOnce(ctx, w, t, e)
 	case state.Send:
 		done := s.attempt(ctx, w, t, e)
+		s.sent(t, &e, done)
 		s.backend.Apply(done.event)
 		if done.started {
 			return true
@@ -68,6 +76,7 @@
 		}
 		return false
 	case state.Refuse:
+		t.track.result = resultRefused
 		s.endOnce(t, e.Run)
 		refusalFor(e.Reason, e.Run, e.Retry).write(w)
 		return true
--- a/caller/server.go
+++ b/caller/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -19,6 +20,7 @@
 
 // Backend is the host behind the interface.
 type Backend interface {
+	Observer
 	// Open takes a request. Begin, Send and Refuse effects come over the channel; cancel is called on a Cut.
 	Open(arrive state.Arrive, cancel context.CancelCauseFunc) <-chan state.Effect
 	// Close forgets a request.
@@ -43,7 +45,7 @@
 type Server struct {
 	backend Backend
 	calls   *call.Calls
-	limits  Limits
+	limits  atomic.Pointer[Limits]
 	host    string // prefix of request ids
 	sender  *sender
 	log     hclog.Logger
@@ -54,17 +56,21 @@
 
 // New returns a server for callers; host is the id of this host's member.
 func New(backend Backend, calls *call.Calls, objects *object.Client, limits Limits, host string, log hclog.Logger) *Server {
-	return &Server{
+	s := &Server{
 		backend: backend,
 		calls:   calls,
 		objects: objects,
-		limits:  limits,
 		host:    host,
 		sender:  newSender(),
 		log:     log.Named("caller"),
 	}
+	s.limits.Store(&limits)
+	return s
 }
 
+// SetLimits changes the limits for requests that arrive from now on.
+func (s *Server) SetLimits(limits Limits) { s.limits.Store(&limits) }
+
 // Handler returns the routes of the interface.
 func (s *Server) Handler() http.Handler {
 	mux := goji.NewMux()
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -9,9 +9,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"magnoliahoist/endpoint"
 	"magnoliahoist/state"
+	"magnoliahoist/timeline"
 )
 
 // maxResumes is how often a stream that was cut is taken up again at the same endpoint.
@@ -41,6 +43,9 @@
 type relay struct {
 	w       http.ResponseWriter
 	flusher http.Flusher
+	begin   func() // called before the first event passes
+	now     func() time.Duration
+	pace    *pace
 	attempt string
 	next    int64 // offset of the event that is expected
 	tokens  int64 // generated, as far as known
@@ -51,11 +56,14 @@
 // stream hands the events of an attempt to the caller, taking up a cut stream where it broke.
 func (s *Server) stream(ctx context.Context, w http.ResponseWriter, t *task, send state.Send, id string, out outgoing, response *http.Response) answer {
 	flusher, _ := w.(http.Flusher)
-	relay := &relay{w: w, flusher: flusher, attempt: id, next: firstOffset}
+	begin := func() { s.attemptEvent(t, timeline.First, &send, "") }
+	relay := &relay{w: w, flusher: flusher, begin: begin, now: s.backend.Now, pace: &t.track.pace, attempt: id, next: firstOffset}
 	err := relay.copy(response.Body)
 	for resumes := 0; errors.Is(err, errCut) && ctx.Err() == nil && resumes < maxResumes; resumes++ {
+		s.attemptEvent(t, timeline.Resumed, &send, "")
 		err = s.resume(ctx, relay, send, id, out)
 	}
+	t.track.made = relay.tokens
 	finished := state.Finished{Request: t.id, Sent: true, Used: t.arrive.Prompt + relay.tokens, Outcome: endpoint.Done}
 	switch {
 	case relay.done:
@@ -140,6 +148,7 @@
 		return
 	}
 	r.tokens++
+	r.pace.token(r.now())
 	var parsed usageBody
 	if bytes.Contains(data, []byte(usageField)) && json.Unmarshal(data, &parsed) == nil && parsed.Usage.CompletionTokens > 0 {
 		r.tokens = parsed.Usage.CompletionTokens
@@ -149,6 +158,7 @@
 func (r *relay) pass(data []byte) error {
 	if !r.started {
 		r.started = true
+		r.begin()
 		r.w.Header().Set("Content-Type", "text/event-stream")
 		r.w.Header().Set("Cache-Control", "no-cache")
 		r.w.WriteHeader(http.StatusOK)
--- a/cli/status.go
+++ b/cli/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -45,28 +47,77 @@
 	if err != nil {
 		return err
 	}
-	rows := [][]any{
+	return s.printRows(status, statusRows(status))
+}
+
+// statusRows lays out a status for people: what is wrong first, then hosts, failure domains,
+// endpoints, models, leases and shares.
+func statusRows(status operator.Status) [][]any {
+	var rows [][]any
+	for _, problem := range status.Problems {
+		rows = append(rows, []any{"PROBLEM", problem})
+	}
+	if len(status.Problems) == 0 {
+		rows = append(rows, []any{"ok", "nothing is known to be wrong"})
+	}
+	rows = append(rows, [][]any{
 		{"host", status.Host}, {"domain", status.Domain}, {"state", status.State}, {"revision", status.Revision},
+		{"tables", fmt.Sprintf("revision %d, edit %s", status.Head.Revision, status.Head.Edit)},
 		{"contact", status.Contact}, {"freshness", status.Freshness}, {"running", status.Running}, {"waiting", status.Waiting},
-	}
+	}...)
 	for _, m := range status.Members {
-		rows = append(rows, []any{"member", m.ID, m.Address, m.Domain, fmt.Sprintf("revision %d", m.Revision)})
+		rows = append(rows, []any{"member", m.ID, m.Address, m.Domain, fmt.Sprintf("revision %d", m.Revision), mark(m.Silent, "silent")})
 	}
+	rows = append(rows, domainRows(status)...)
 	for _, e := range status.Endpoints {
-		rows = append(rows, []any{"endpoint", e.Name, e.Pool, fmt.Sprintf("running %d", e.Running), strings.Join(e.Models, " "), marks(e)})
+		rows = append(rows, []any{"endpoint", e.Name, e.Pool, e.Domain, fmt.Sprintf("running %d", e.Running), strings.Join(e.Models, " "), marks(e)})
 	}
-	return s.printRows(status, rows)
+	for _, m := range status.Models {
+		holders := strings.Join(m.Endpoints, " ")
+		if !m.Reported {
+			holders = "not reported"
+		}
+		rows = append(rows, []any{"model", m.Name, m.Pool, "version " + m.Version, fmt.Sprintf("replicas %d", m.Replicas), holders})
+	}
+	for _, l := range status.Leases {
+		rows = append(rows, []any{"lease", l.Pool, l.Holder, fmt.Sprintf("number %d", l.Number)})
+	}
+	for _, share := range status.Shares {
+		parts := make([]string, len(share.Parts))
+		for i, part := range share.Parts {
+			parts[i] = fmt.Sprintf("%s %.3g", part.Host, part.Part)
+		}
+		rows = append(rows, []any{"share", share.Account, fmt.Sprintf("rate %g", share.Rate), fmt.Sprintf("burst %d", share.Burst), strings.Join(parts, ", ")})
+	}
+	return rows
 }
 
-func marks(e operator.Endpoint) string {
-	var list []string
-	if e.Ejected {
-		list = append(list, "ejected")
+// domainRows counts hosts and endpoints of each failure domain.
+func domainRows(status operator.Status) [][]any {
+	hosts, endpoints := map[string]int{}, map[string]int{}
+	for _, m := range status.Members {
+		hosts[m.Domain]++
+		endpoints[m.Domain] += 0
+	}
+	for _, e := range status.Endpoints {
+		endpoints[e.Domain]++
 	}
-	if e.Leaving {
-		list = append(list, "leaving")
+	var rows [][]any
+	for _, name := range slices.Sorted(maps.Keys(endpoints)) {
+		rows = append(rows, []any{"domain", name, fmt.Sprintf("hosts %d", hosts[name]), fmt.Sprintf("endpoints %d", endpoints[name])})
 	}
-	return strings.Join(list, " ")
+	return rows
+}
+
+func mark(set bool, name string) string {
+	if set {
+		return name
+	}
+	return ""
+}
+
+func marks(e operator.Endpoint) string {
+	return strings.TrimSpace(mark(e.Ejected, "ejected") + " " + mark(e.Leaving, "leaving"))
 }
 
 type healthCommand struct{}
--- a/endpoint/inspect.go
+++ b/endpoint/inspect.go
@@ -9,6 +9,7 @@
 	Models   []string
 	Ejected  bool
 	Leaving  bool
+	Reported bool // has said what it holds
 }
 
 // Inspect returns what is known of every endpoint.
@@ -19,7 +20,7 @@
 		if e.gone {
 			continue
 		}
-		status := Status{Endpoint: e.Endpoint, Running: e.calls, Ejected: now < e.until, Leaving: e.leaving}
+		status := Status{Endpoint: e.Endpoint, Running: e.calls, Ejected: now < e.until, Leaving: e.leaving, Reported: e.reported}
 		for _, held := range e.holding {
 			status.Models = append(status.Models, held.Model)
 		}
@@ -27,3 +28,13 @@
 	}
 	return list
 }
+
+// AppendEjected appends the names of the endpoints that get no calls after failures.
+func (v *View) AppendEjected(names []string, now time.Duration) []string {
+	for i := range v.entries {
+		if e := &v.entries[i]; !e.gone && now < e.until {
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
--- a/host/accept.go
+++ b/host/accept.go
@@ -102,6 +102,9 @@
 		h.log.Debug("host: unable to commit", "row", e.Key, "error", err)
 		return
 	}
+	if result.Committed {
+		h.recordCommit(e.Key, result.Revision)
+	}
 	if err := h.learn(ctx); err != nil {
 		h.log.Debug("host: unable to read own change", "row", e.Key, "error", err)
 	}
--- a/host/drain.go
+++ b/host/drain.go
@@ -52,6 +52,7 @@
 	defer cancel()
 	h.handOver(ctx)
 	h.leave(ctx)
+	h.record(timeline.Event{Kind: timeline.Ended})
 	h.tomb.Kill(nil)
 	for _, l := range []*listener{h.callerListener, h.operatorListener, h.peerListener} {
 		if err := l.shutdown(ctx); err != nil {
--- a/host/edit.go
+++ b/host/edit.go
@@ -114,6 +114,7 @@
 	case !result.Committed:
 		return h.lostRace(ctx, edit, record)
 	}
+	h.recordCommit("table "+edit.Kind.String()+", edit "+edit.ID, result.Revision)
 	return h.await(ctx, result.Revision), nil
 }
 
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -26,10 +26,19 @@
 		return err
 	}
 	h.contact.Store(int64(started))
-	h.Apply(state.Learned{Source: replica.FromTable{}, Started: started, After: e.After, Rows: snapshot})
+	h.learned(state.Learned{Source: replica.FromTable{}, Started: started, After: e.After, Rows: snapshot})
 	return nil
 }
 
+// learned takes up rows of the shared state and records the changes.
+func (h *Host) learned(e state.Learned) {
+	before := h.View()
+	h.Apply(e)
+	if len(e.Rows.Rows) > 0 {
+		h.recordApplied(before, h.View(), e.Rows.Rows)
+	}
+}
+
 // syncMember learns of changes from another host.
 func (h *Host) syncMember(ctx context.Context, e state.SyncMember) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -41,7 +50,7 @@
 		return
 	}
 	h.observe(answer.GetReply().GetStamp())
-	h.Apply(state.Learned{Source: answer.Source(), Started: started, After: e.After, Rows: answer.Snapshot(), Settled: answer.GetSettled()})
+	h.learned(state.Learned{Source: answer.Source(), Started: started, After: e.After, Rows: answer.Snapshot(), Settled: answer.GetSettled()})
 }
 
 // borrow asks another host for tokens.
@@ -54,7 +63,7 @@
 		lent.Tokens = answer.GetTokens()
 	}
 	if lent.Tokens > 0 {
-		h.record(timeline.Event{Kind: timeline.Borrowed, Account: e.Account, Note: e.Loan})
+		h.record(timeline.Event{Kind: timeline.Borrowed, Account: e.Account, Note: "loan " + e.Loan + " from " + e.Lender})
 	}
 	h.Apply(lent)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -39,9 +39,10 @@
 	peers    *peer.Client
 	calls    *call.Calls
 	callers  *caller.Server
-	ringMu   sync.Mutex // guards clock and ring
+	ringMu   sync.Mutex // guards clock, ring and departed
 	clock    *timeline.Clock
 	ring     *timeline.Ring
+	departed departed
 	platform *http.Client
 	metrics  *metric.Metrics
 	tomb     tomb.Tomb
@@ -124,7 +125,6 @@
 	case state.Begin:
 		h.deliver(e.Request, e)
 	case state.Send:
-		h.recordSend(e)
 		h.deliver(e.Request, e)
 	case state.Refuse:
 		h.recordRefusal(e)
--- a/host/keys.go
+++ b/host/keys.go
@@ -59,6 +59,7 @@
 		})
 		switch {
 		case err == nil && result.Committed:
+			h.recordCommit(name, result.Revision)
 			return h.await(ctx, result.Revision), nil
 		case err == nil:
 			return h.writtenKey(ctx, name, string(value))
--- a/host/new.go
+++ b/host/new.go
@@ -48,6 +48,7 @@
 		clock:    &timeline.Clock{},
 		ring:     timeline.NewRing(settings.Ring),
 		waiting:  map[uint64]waiter{},
+		departed: departed{silent: map[string]bool{}},
 	}
 	h.drain.began = make(chan struct{})
 	h.contact.Store(noContact)
--- a/host/peers.go
+++ b/host/peers.go
@@ -78,6 +78,7 @@
 
 // sawMember reports how an exchange with a member ended.
 func (h *Host) sawMember(member string, err error) {
+	h.recordExchange(member, err == nil)
 	if err == nil {
 		h.Apply(state.Answered{Member: member})
 		return
--- /dev/null
+++ b/host/problems.go
@@ -0,0 +1,116 @@
+package host
+
+import (
+	"fmt"
+	"time"
+
+	"magnoliahoist/operator"
+	"magnoliahoist/replica"
+	"magnoliahoist/route"
+)
+
+// problemsOf says what is wrong, the most urgent first.
+func problemsOf(s operator.Status, view *replica.View) []string {
+	var list []string
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	switch s.State {
+	case operator.Stale:
+		add("the host is stale: it refuses all requests")
+	case operator.Starting:
+		add("the host has not read the shared state yet")
+	case operator.Draining:
+		add("the host is draining")
+	}
+	if s.Contact > s.Window {
+		add("no contact with the table service for %s", time.Duration(s.Contact).Round(time.Second))
+	}
+	for _, m := range s.Members {
+		if m.Silent {
+			add("member %s in %s does not answer", m.ID, m.Domain)
+		}
+	}
+	list = append(list, endpointProblems(s)...)
+	for _, share := range s.Shares {
+		if len(share.Parts) == 0 {
+			add("account %s: its rate is not divided among hosts yet", share.Account)
+		}
+	}
+	for _, lease := range s.Leases {
+		if _, known := view.MemberByID(lease.Holder); !known && len(view.Members()) > 0 {
+			add("pool %s: no member holds its lease", lease.Pool)
+		}
+	}
+	for _, row := range view.Broken() {
+		add("row cannot be read: %s", row)
+	}
+	return list
+}
+
+func endpointProblems(s operator.Status) []string {
+	var list []string
+	for _, e := range s.Endpoints {
+		if e.Ejected {
+			list = append(list, fmt.Sprintf("endpoint %s of pool %s is ejected after failures", e.Name, e.Pool))
+		}
+	}
+	for _, m := range s.Models {
+		if m.Reported && len(m.Endpoints) == 0 {
+			list = append(list, fmt.Sprintf("model %s of pool %s has no endpoint", m.Name, m.Pool))
+		}
+	}
+	return list
+}
+
+// modelsOf returns every model of the tables with the endpoints that hold it and take calls.
+func modelsOf(view *replica.View, endpoints []operator.Endpoint) []operator.Model {
+	holders := map[[2]string][]string{}
+	reported := map[string]bool{}
+	for _, e := range endpoints {
+		reported[e.Pool] = reported[e.Pool] || e.Reported
+		for _, name := range e.Models {
+			if !e.Ejected && !e.Leaving {
+				holders[[2]string{e.Pool, name}] = append(holders[[2]string{e.Pool, name}], e.Name)
+			}
+		}
+	}
+	var list []operator.Model
+	for _, p := range view.Pools() {
+		if p.Kind != route.Model {
+			continue
+		}
+		for _, m := range p.Models {
+			list = append(list, operator.Model{
+				Name:      m.Name,
+				Pool:      p.Name,
+				Version:   m.Version,
+				Replicas:  m.Replicas,
+				Reported:  reported[p.Name],
+				Endpoints: holders[[2]string{p.Name, m.Name}],
+			})
+		}
+	}
+	return list
+}
+
+func sharesOf(view *replica.View) []operator.Share {
+	var list []operator.Share
+	for _, owner := range view.Accounts() {
+		share := operator.Share{Account: owner.Name, Rate: owner.Rate, Burst: owner.Burst}
+		divided, _ := view.ShareOf(owner.Name)
+		for _, part := range divided.Parts {
+			share.Parts = append(share.Parts, operator.Part{Host: part.Host, Part: part.Part})
+		}
+		list = append(list, share)
+	}
+	return list
+}
+
+func leasesOf(view *replica.View) []operator.Lease {
+	var list []operator.Lease
+	for _, p := range view.Pools() {
+		if held, taken := view.LeaseOf(p.Name); taken {
+			list = append(list, operator.Lease{Pool: p.Name, Holder: held.Holder, Number: held.Number})
+		}
+	}
+	return list
+}
--- a/host/service.go
+++ b/host/service.go
@@ -73,7 +73,7 @@
 	asks := state.Asks{Account: r.GetAccount(), Loan: r.GetLoan(), Borrower: r.GetHeader().GetFrom(), Tokens: r.GetTokens()}
 	tokens := h.lend(asks)
 	if tokens > 0 {
-		h.record(timeline.Event{Kind: timeline.Lent, Account: asks.Account, Note: asks.Loan})
+		h.record(timeline.Event{Kind: timeline.Lent, Account: asks.Account, Note: "loan " + asks.Loan + " to " + asks.Borrower})
 	}
 	return &peer.BorrowResponse{Reply: s.reply(r.GetHeader()), Tokens: tokens}, nil
 }
@@ -92,6 +92,7 @@
 
 // Repay takes back unused tokens.
 func (s *peerService) Repay(ctx context.Context, r *peer.RepayRequest) (*peer.RepayResponse, error) {
+	s.host.record(timeline.Event{Kind: timeline.Repaid, Account: r.GetAccount(), Note: "loan " + r.GetLoan()})
 	s.host.Apply(state.Repaid{Account: r.GetAccount(), Loan: r.GetLoan(), Unused: r.GetUnused()})
 	return &peer.RepayResponse{Reply: s.reply(r.GetHeader())}, nil
 }
--- a/host/status.go
+++ b/host/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"magnoliahoist/document"
@@ -28,6 +30,11 @@
 		Waiting:   h.state.Waiting(),
 		Endpoints: h.endpoints(),
 	}
+	head, revision := view.Head()
+	status.Head = operator.Head{Revision: revision, Edits: head.Edits, Edit: head.Edit}
+	status.Models = modelsOf(view, status.Endpoints)
+	status.Leases, status.Shares = leasesOf(view), sharesOf(view)
+	silent := h.silentMembers()
 	for _, member := range view.Members() {
 		status.Members = append(status.Members, operator.Member{
 			ID:       member.ID,
@@ -35,8 +42,10 @@
 			Domain:   member.Domain,
 			Group:    member.Group,
 			Revision: h.state.Replica().AppliedBy(member.ID),
+			Silent:   silent[member.ID],
 		})
 	}
+	status.Problems = problemsOf(status, view)
 	return status, nil
 }
 
@@ -44,12 +53,14 @@
 	var list []operator.Endpoint
 	for _, e := range h.state.Endpoints(h.Now()) {
 		list = append(list, operator.Endpoint{
-			Name:    e.Endpoint.Name,
-			Pool:    e.Endpoint.Pool,
-			Running: e.Running,
-			Models:  e.Models,
-			Ejected: e.Ejected,
-			Leaving: e.Leaving,
+			Name:     e.Endpoint.Name,
+			Pool:     e.Endpoint.Pool,
+			Domain:   e.Endpoint.Domain,
+			Running:  e.Running,
+			Models:   e.Models,
+			Ejected:  e.Ejected,
+			Leaving:  e.Leaving,
+			Reported: e.Reported,
 		})
 	}
 	return list
@@ -87,14 +98,24 @@
 	}
 }
 
-// Timeline returns the logs of all hosts; a host that does not answer shows as a gap.
+// timelineTimeout bounds how long the time line waits for another host.
+const timelineTimeout = 2 * time.Second
+
+// Timeline returns the logs of all hosts. A host that does not answer shows as a gap, one that has
+// ended with the time at which this host saw it gone.
 func (h *Host) Timeline(ctx context.Context) ([]timeline.Log, error) {
-	logs := []timeline.Log{{Host: h.id, Events: h.events(0)}}
-	for _, member := range h.View().Members() {
-		if member.ID == h.id {
-			continue
+	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
+	defer cancel()
+	members := h.View().Members()
+	logs := make([]timeline.Log, len(members))
+	var asked sync.WaitGroup
+	for i, member := range members {
+		if member.ID != h.id {
+			asked.Go(func() { logs[i] = h.timelineOf(ctx, member) })
 		}
-		logs = append(logs, h.timelineOf(ctx, member))
 	}
-	return logs, nil
+	asked.Wait()
+	logs = slices.DeleteFunc(logs, func(log timeline.Log) bool { return log.Host == "" })
+	logs = append(logs, h.endedLogs()...)
+	return append(logs, timeline.Log{Host: h.id, Events: h.events(0)}), nil
 }
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -91,10 +91,12 @@
 
 // Status is what a host knows of itself and of the fleet.
 type Status struct {
+	Problems  []string          `json:"problems"` // what is wrong, the most urgent first
 	Host      string            `json:"host"`
 	Domain    string            `json:"domain"`
 	State     State             `json:"state"`
-	Revision  int64             `json:"revision"`  // of the host's copy
+	Revision  int64             `json:"revision"` // of the host's copy
+	Head      Head              `json:"head"`
 	Contact   document.Duration `json:"contact"`   // time since the last contact with the table service
 	Freshness document.Duration `json:"freshness"` // time until the host stops being fresh
 	Window    document.Duration `json:"window"`
@@ -102,6 +104,47 @@
 	Waiting   int               `json:"waiting"` // requests
 	Members   []Member          `json:"members"`
 	Endpoints []Endpoint        `json:"endpoints"`
+	Models    []Model           `json:"models"`
+	Leases    []Lease           `json:"leases"`
+	Shares    []Share           `json:"shares"`
+}
+
+// Head is the version of the tables that is in force on the host.
+type Head struct {
+	Revision int64  `json:"revision"` // of the last edit
+	Edits    int64  `json:"edits"`    // number of edits so far
+	Edit     string `json:"edit"`     // id of the last edit
+}
+
+// Model is a model of the pools table.
+type Model struct {
+	Name      string   `json:"name"`
+	Pool      string   `json:"pool"`
+	Version   string   `json:"version"`            // wanted
+	Replicas  int      `json:"replicas"`           // wanted
+	Reported  bool     `json:"reported,omitempty"` // endpoints of the pool have said what they hold
+	Endpoints []string `json:"endpoints"`          // that hold it and take calls
+}
+
+// Lease says which host manages a pool.
+type Lease struct {
+	Pool   string `json:"pool"`
+	Holder string `json:"holder"`
+	Number int64  `json:"number"`
+}
+
+// Share says which hosts hold the allowance of an account.
+type Share struct {
+	Account string  `json:"account"`
+	Rate    float64 `json:"rate"`  // tokens a second
+	Burst   int64   `json:"burst"` // tokens
+	Parts   []Part  `json:"parts"`
+}
+
+// Part is the part of an allowance that a host holds, 0 to 1.
+type Part struct {
+	Host string  `json:"host"`
+	Part float64 `json:"part"`
 }
 
 // Member is a host that counts in its witness group.
@@ -111,14 +154,17 @@
 	Domain   string `json:"domain"`
 	Group    string `json:"group"`
 	Revision int64  `json:"revision"` // last known to be applied there
+	Silent   bool   `json:"silent,omitempty"`
 }
 
 // Endpoint is an endpoint as the host sees it.
 type Endpoint struct {
-	Name    string   `json:"name"`
-	Pool    string   `json:"pool"`
-	Running int      `json:"running"` // calls
-	Models  []string `json:"models,omitempty"`
-	Ejected bool     `json:"ejected,omitempty"`
-	Leaving bool     `json:"leaving,omitempty"`
+	Name     string   `json:"name"`
+	Pool     string   `json:"pool"`
+	Domain   string   `json:"domain"`
+	Running  int      `json:"running"` // calls
+	Models   []string `json:"models,omitempty"`
+	Ejected  bool     `json:"ejected,omitempty"`
+	Leaving  bool     `json:"leaving,omitempty"`
+	Reported bool     `json:"reported,omitempty"` // has said what it holds
 }
--- a/state/inspect.go
+++ b/state/inspect.go
@@ -26,6 +26,15 @@
 	return list
 }
 
+// Ejected returns the names of the endpoints that get no calls after failures.
+func (s *State) Ejected(now time.Duration) []string {
+	var names []string
+	for _, p := range s.pools {
+		names = p.view.AppendEjected(names, now)
+	}
+	return names
+}
+
 // Ready reports whether the allowance of every account can be used: the host holds its part, or others hold all of it.
 func (s *State) Ready(now time.Duration) bool {
 	if !s.replica.Fresh(now) {
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -39,6 +39,8 @@
 	Restored              // restored
 	Draining              // draining
 	Ended                 // ended
+	Silent                // silent
+	Heard                 // heard
 	Gap                   // gap
 )
 
--- a/timeline/kind_string.go
+++ b/timeline/kind_string.go
@@ -38,12 +38,14 @@
 	_ = x[Restored-27]
 	_ = x[Draining-28]
 	_ = x[Ended-29]
-	_ = x[Gap-30]
+	_ = x[Silent-30]
+	_ = x[Heard-31]
+	_ = x[Gap-32]
 }
 
-const _Kind_name = "receivedqueuedsentfirstretriedresumedfinishedfailedansweredrefusedcutborrowedlentrepaidorderedconfirmedrejectedlostcommittedappliedacceptedjoinedremovedtakenstalefreshejectedrestoreddrainingendedgap"
+const _Kind_name = "receivedqueuedsentfirstretriedresumedfinishedfailedansweredrefusedcutborrowedlentrepaidorderedconfirmedrejectedlostcommittedappliedacceptedjoinedremovedtakenstalefreshejectedrestoreddrainingendedsilentheardgap"
 
-var _Kind_index = [...]uint8{0, 8, 14, 18, 23, 30, 37, 45, 51, 59, 66, 69, 77, 81, 87, 94, 103, 111, 115, 124, 131, 139, 145, 152, 157, 162, 167, 174, 182, 190, 195, 198}
+var _Kind_index = [...]uint8{0, 8, 14, 18, 23, 30, 37, 45, 51, 59, 66, 69, 77, 81, 87, 94, 103, 111, 115, 124, 131, 139, 145, 152, 157, 162, 167, 174, 182, 190, 195, 201, 206, 209}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
