--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -246,8 +246,11 @@
 func TestHooks(t *testing.T) {
 	var got config.Host
 	hooks := cli.Hooks{
-		Host: func(_ context.Context, h config.Host, _, _ io.Writer) error { got = h; return nil },
-		Dev:  func(context.Context, io.Writer, io.Writer) error { return errors.New("no free port") },
+		Host: func(_ context.Context, load func() (config.Host, error), _, _ io.Writer) (err error) {
+			got, err = load()
+			return err
+		},
+		Dev: func(context.Context, io.Writer, io.Writer) error { return errors.New("no free port") },
 	}
 	var errs bytes.Buffer
 	qt.Check(t, hooks.Run([]string{"host", "--config", example + "host-2.json"}, io.Discard, &errs), qt.Equals, 0)
--- a/cli/host.go
+++ b/cli/host.go
@@ -15,14 +15,10 @@
 
 // Run runs an entry host until the process is asked to stop.
 func (c hostCommand) Run(s *session) error {
-	settings, err := config.Load(c.Config)
-	if err != nil {
-		return err
-	}
 	if s.hooks.Host == nil {
 		return errors.Annotate(errNotBuilt, "cli: unable to run a host")
 	}
-	return s.hooks.Host(s.ctx, settings, s.out, s.errs)
+	return s.hooks.Host(s.ctx, func() (config.Host, error) { return config.Load(c.Config) }, s.out, s.errs)
 }
 
 type devCommand struct{}
--- a/host/host.go
+++ b/host/host.go
@@ -31,6 +31,7 @@
 // Host is one entry host.
 type Host struct {
 	settings config.Host
+	reloaded atomic.Pointer[config.Host] // settings in force after a reload
 	id       string
 	start    time.Time
 	log      hclog.Logger
--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,117 @@
+package host
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahoist/config"
+	"magnoliahoist/metric"
+	"magnoliahoist/operator"
+	"magnoliahoist/replica"
+	"magnoliahoist/table"
+	"magnoliahoist/timeline"
+)
+
+func newHost(t testing.TB) *Host {
+	settings, err := config.Parse([]byte(`{"id": "h1", "domain": "fukuoka", "secret": "0123456789abcdef", "platform": {"table": "127.0.0.1:1", "objects": "127.0.0.1:1", "hosts": "127.0.0.1:1"}}`))
+	qt.Assert(t, err, qt.IsNil)
+	h, err := New(settings, hclog.NewNullLogger())
+	qt.Assert(t, err, qt.IsNil)
+	return h
+}
+
+// BenchmarkObserve measures what the time line and the metrics cost for one streamed request.
+func BenchmarkObserve(b *testing.B) {
+	h := newHost(b)
+	kinds := []timeline.Kind{timeline.Received, timeline.Sent, timeline.First, timeline.Finished, timeline.Answered}
+	answer := metric.Answer{Pool: "p", Account: "a", Result: "done", Model: true, Complete: true, Tokens: 300, First: time.Second}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, kind := range kinds {
+			h.Record(timeline.Event{Kind: kind, Request: "h1-1", Attempt: "h1-1-1", Endpoint: "e", Account: "a"})
+		}
+		h.Count(answer)
+	}
+}
+
+// Guards against a reload that changes what hosts must agree on, or that shows a secret in the log.
+func TestReload(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(t)
+	next := h.settings
+	next.Log.Level, next.Limits.Body, next.Window, next.Secret = "debug", 2048, next.Window+1, "another secret of hosts"
+	h.Reload(next)
+	c.Check(h.inForce().Limits.Body, qt.Equals, int64(2048))
+	c.Check(h.inForce().Window, qt.Equals, h.settings.Window)
+	c.Check(differences(h.inForce(), next), qt.DeepEquals, []string{"secret", "window"})
+}
+
+// Guards against a member that dies and leaves no trace in the time line.
+func TestRecordRemoved(t *testing.T) {
+	c := qt.New(t)
+	h := newHost(t)
+	member := func(id string, revision int64) table.Row {
+		return table.Row{Key: replica.KeyForMember(id), Revision: revision, Value: replica.EncodeMember(replica.Member{Address: "127.0.0.1:1", Domain: "d", Group: "all"})}
+	}
+	before := replica.NewView().With([]table.Row{member("h1", 1), member("h2", 2)}, 2)
+	gone := []table.Row{{Key: replica.KeyForMember("h2"), Revision: 3, Value: replica.EncodeGone()}}
+	h.recordApplied(before, before.With(gone, 3), gone)
+	events := timeline.Filter{Change: 3}.Select(timeline.Merge(append(h.endedLogs(), timeline.Log{Host: "h1", Events: h.events(0)})))
+	var kinds []string
+	for _, e := range events {
+		kinds = append(kinds, e.Host+" "+e.Kind.String())
+	}
+	c.Check(kinds, qt.DeepEquals, []string{"h1 removed", "h2 gap", "h1 applied"})
+}
+
+// Guards against a ring that a host fills with old changes when it starts.
+func TestRecordAppliedBounded(t *testing.T) {
+	h := newHost(t)
+	var rows []table.Row
+	for n := range int64(200) {
+		rows = append(rows, table.Row{Key: fmt.Sprintf("fleet/other/%d", n), Revision: n + 1, Value: []byte("{}")})
+	}
+	h.recordApplied(replica.NewView(), replica.NewView().With(rows, 200), rows)
+	events := h.events(0)
+	qt.Assert(t, events, qt.HasLen, appliedMost+1)
+	qt.Assert(t, events[appliedMost].Change, qt.Equals, int64(200))
+}
+
+// Guards against a status in which what is wrong does not show.
+func TestProblems(t *testing.T) {
+	healthy := operator.Status{State: operator.Serving, Window: 3, Models: []operator.Model{{Name: "m", Endpoints: []string{"e"}, Reported: true}}}
+	tests := map[string]struct {
+		change func(*operator.Status)
+		want   string
+	}{
+		"healthy":       {func(*operator.Status) {}, ""},
+		"stale":         {func(s *operator.Status) { s.State = operator.Stale }, "the host is stale: .*"},
+		"no contact":    {func(s *operator.Status) { s.Contact = 4 }, "no contact with the table service .*"},
+		"silent member": {func(s *operator.Status) { s.Members = []operator.Member{{ID: "h2", Silent: true}} }, "member h2 .*"},
+		"ejected":       {func(s *operator.Status) { s.Endpoints = []operator.Endpoint{{Name: "e", Ejected: true}} }, "endpoint e .* ejected .*"},
+		"no endpoint":   {func(s *operator.Status) { s.Models[0].Endpoints = nil }, "model m .* has no endpoint"},
+		"not reported":  {func(s *operator.Status) { s.Models[0].Endpoints, s.Models[0].Reported = nil, false }, ""},
+		"not divided":   {func(s *operator.Status) { s.Shares = []operator.Share{{Account: "a"}} }, "account a: .*"},
+		"shared and held": {func(s *operator.Status) {
+			s.Shares = []operator.Share{{Account: "a", Parts: []operator.Part{{Host: "h", Part: 1}}}}
+		}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			status := healthy
+			status.Models = append([]operator.Model(nil), healthy.Models...)
+			test.change(&status)
+			list := problemsOf(status, replica.NewView())
+			if test.want == "" {
+				qt.Assert(t, list, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, list, qt.HasLen, 1)
+			qt.Assert(t, list[0], qt.Matches, test.want)
+		})
+	}
+}
--- a/host/new.go
+++ b/host/new.go
@@ -62,8 +62,7 @@
 	h.batcher = table.NewBatcher(h.table, batchMost, batchDelay)
 	h.calls = call.New(callTable{h.table, h.batcher}, id, waitClock{})
 	objects := object.New(settings.Platform.Objects, &http.Client{Timeout: platformTimeout})
-	limits := caller.Limits{Body: settings.Limits.Body, Call: time.Duration(settings.Limits.Call)}
-	h.callers = caller.New(h, h.calls, objects, limits, id, log)
+	h.callers = caller.New(h, h.calls, objects, callerLimits(settings), id, log)
 	return h, nil
 }
 
--- a/host/run.go
+++ b/host/run.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -11,8 +14,12 @@
 )
 
 // Run runs a host until the context ends, then stops it as planned. It writes its addresses as one
-// line, because ports may have been chosen by the system.
-func Run(ctx context.Context, settings config.Host, out, errs io.Writer) error {
+// line, because ports may have been chosen by the system. SIGHUP loads the settings again.
+func Run(ctx context.Context, load func() (config.Host, error), out, errs io.Writer) error {
+	settings, err := load()
+	if err != nil {
+		return err
+	}
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "magnoliahoist",
 		Output:     errs,
@@ -23,15 +30,23 @@
 	if err != nil {
 		return err
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	if err := h.Start(); err != nil {
 		return err
 	}
 	callers, operators, peers := h.Addresses()
 	fmt.Fprintf(out, "host %s callers %s operators %s peers %s\n", h.ID(), callers, operators, peers)
-	select {
-	case <-ctx.Done():
-		h.Drain(context.Background())
-	case <-h.Done():
+	for {
+		select {
+		case <-hangups:
+			h.loadAgain(load)
+			continue
+		case <-ctx.Done():
+			h.Drain(context.Background())
+		case <-h.Done():
+		}
+		return h.Wait()
 	}
-	return h.Wait()
 }
--- /dev/null
+++ b/system/day_test.go
@@ -0,0 +1,164 @@
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/operator"
+)
+
+// desk is an operator's command line towards one host.
+type desk struct {
+	t        *testing.T
+	operator string
+	dir      string
+}
+
+// run runs a command of the binary and returns its exit status and output.
+func (d *desk) run(args ...string) (status int, out, errs string) {
+	d.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), settle)
+	defer cancel()
+	command := exec.CommandContext(ctx, binary, args...)
+	command.Env = append(os.Environ(), "MAGNOLIAHOIST_OPERATOR="+d.operator, "MAGNOLIAHOIST_CREDENTIAL="+testCredential)
+	var stdout, stderr bytes.Buffer
+	command.Stdout, command.Stderr = &stdout, &stderr
+	_ = command.Run() // the exit status is checked
+	return command.ProcessState.ExitCode(), stdout.String(), stderr.String()
+}
+
+// do runs a command that must succeed.
+func (d *desk) do(args ...string) string {
+	d.t.Helper()
+	status, out, errs := d.run(args...)
+	if status != 0 {
+		d.t.Fatalf("%s: status %d\n%s%s", strings.Join(args, " "), status, out, errs)
+	}
+	return out
+}
+
+// file writes a file for a command.
+func (d *desk) file(name, content string) string {
+	d.t.Helper()
+	path := filepath.Join(d.dir, name)
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against commands that do not work against hosts as docs/operations.md prints them: tables, keys,
+// a key withdrawn in mid-stream, a host that dies, a drain, the time line of all that, and exit statuses.
+func TestOperatorsDay(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 3, engine: slow, fenced: []bool{true, true}})
+	d := &desk{t, f.hosts[0].word("operators"), t.TempDir()}
+
+	c.Check(d.do("health"), qt.Equals, "serving\n")
+	pools, routes := d.do("get", "pools"), d.do("get", "routes")
+	poolsFile, routesFile := d.file("pools.json", pools), d.file("routes.json", routes)
+	c.Check(d.do("check", "--routes", routesFile, "--pools", poolsFile), qt.Equals, "valid\n")
+	c.Check(d.do("apply", "--routes", routesFile, "--pools", poolsFile), qt.Equals, "unchanged\n")
+
+	edited := strings.Replace(routes, `"burst": 2000`, `"burst": 3000`, 1)
+	c.Assert(edited, qt.Not(qt.Equals), routes)
+	c.Check(d.do("apply", "--routes", d.file("routes.json", edited)), qt.Contains, "routes: accepted")
+	edited = strings.Replace(pools, `"slots": 64`, `"slots": 32`, 1)
+	c.Assert(edited, qt.Not(qt.Equals), pools)
+	c.Check(d.do("apply", "--pools", d.file("pools.json", edited)), qt.Contains, "pools: accepted")
+
+	statuses := map[string]struct {
+		status int
+		args   []string
+		errs   string
+	}{
+		"stale edit":      {1, []string{"apply", "--routes", d.file("old.json", routes), "--revision", "1"}, "current version"},
+		"broken table":    {1, []string{"check", "--routes", d.file("broken.json", `{"accounts": [], "routes": [], "more": 1}`)}, "more"},
+		"unknown account": {1, []string{"key", "issue", "nobody"}, "nobody"},
+		"wrong use":       {2, []string{"apply"}, "--routes"},
+		"wrong kind":      {2, []string{"timeline", "--kind", "nothing"}, "does not exist"},
+		"no host":         {1, []string{"--operator", "127.0.0.1:1", "status"}, "refused"},
+	}
+	for name, test := range statuses {
+		c.Run(name, func(c *qt.C) {
+			status, _, errs := d.run(test.args...)
+			c.Check(status, qt.Equals, test.status)
+			c.Check(errs, qt.Contains, test.errs)
+		})
+	}
+
+	var issued operator.Issued
+	c.Assert(json.Unmarshal([]byte(d.do("-o", "json", "key", "issue", "yards", "--label", "gate 3")), &issued), qt.IsNil)
+	c.Check(d.do("key", "list"), qt.Contains, "gate 3")
+	lines, cancel := f.openStream(1, issued.Key, "day", 400)
+	defer cancel()
+	<-lines
+	c.Check(d.do("key", "withdraw", issued.ID), qt.Contains, "withdrawn: accepted")
+	c.Check(f.rest(lines), qt.Contains, `"type":"withdrawn_key"`)
+
+	story := d.do("timeline", "--account", "yards", "--host", f.hosts[1].word("host"))
+	for _, kind := range []string{"received", "sent", "first", "failed", "cut"} {
+		c.Check(story, qt.Contains, " "+kind+" ")
+	}
+	c.Check(story, qt.Not(qt.Contains), issued.Key)
+	c.Check(d.do("timeline", "--trace"), qt.Contains, `"traceEvents"`)
+
+	d.hangup(c, f)
+	d.dead(c, f)
+
+	other := &desk{t, f.hosts[1].word("operators"), d.dir}
+	c.Check(d.do("drain"), qt.Contains, "stopped "+f.hosts[0].word("host"))
+	<-f.hosts[0].done
+	c.Check(f.hosts[0].err, qt.IsNil)
+	c.Check(other.do("timeline", "--kind", "removed"), qt.Contains, "member "+f.hosts[0].word("host"))
+	c.Check(f.chat(1, f.keys["yards"], "after", 2).status, qt.Equals, 200)
+}
+
+// hangup changes the log level without a restart and looks for the line of a request.
+func (d *desk) hangup(c *qt.C, f *fleet) {
+	h := f.hosts[1]
+	c.Check(h.log.String(), qt.Not(qt.Contains), "request ended")
+	file := h.command.Args[len(h.command.Args)-1]
+	data, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	c.Check(d.do("config", "dump", file), qt.Not(qt.Contains), testSecret)
+	var settings map[string]any
+	c.Assert(json.Unmarshal(data, &settings), qt.IsNil)
+	settings["log"] = map[string]string{"level": "debug", "format": "text"}
+	settings["holders"] = 4
+	c.Assert(os.WriteFile(file, encode(f.t, settings), 0o600), qt.IsNil)
+	h.signal(syscall.SIGHUP)
+	f.eventually("the settings are loaded again", func() bool { return strings.Contains(h.log.String(), "settings loaded again") })
+	c.Check(f.chat(1, f.keys["yards"], "logged", 2).status, qt.Equals, 200)
+	f.eventually("the request is logged", func() bool { return strings.Contains(h.log.String(), "request ended") })
+	c.Check(h.log.String(), qt.Contains, "account=yards result=done")
+	c.Check(h.log.String(), qt.Contains, "restart only: settings=[\"holders\"]")
+	c.Check(h.log.String(), qt.Not(qt.Contains), f.keys["yards"])
+	c.Assert(os.WriteFile(file, []byte("{"), 0o600), qt.IsNil)
+	h.signal(syscall.SIGHUP)
+	f.eventually("wrong settings are refused", func() bool { return strings.Contains(h.log.String(), "old ones stay in force") })
+}
+
+// dead kills a host and looks for what the others saw.
+func (d *desk) dead(c *qt.C, f *fleet) {
+	id := f.hosts[2].word("host")
+	f.hosts[2].kill()
+	f.eventually("status names the silent member", func() bool {
+		return strings.Contains(d.do("status"), "member "+id) && strings.Contains(d.do("timeline", "--kind", "silent"), "member "+id)
+	})
+	f.eventually("the dead member is removed", func() bool {
+		return strings.Contains(d.do("timeline", "--kind", "removed"), "member "+id)
+	})
+	story := d.do("timeline", "--host", id)
+	c.Check(story, qt.Contains, "the host ended; its events that were not read before are lost")
+	c.Check(d.do("status"), qt.Not(qt.Contains), "member "+id)
+}
