--- a/host/status.go
+++ b/host/status.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"magnoliahoist/document"
-	"magnoliahoist/metric"
 	"magnoliahoist/operator"
 	"magnoliahoist/timeline"
 )
@@ -84,20 +83,6 @@
 	return h.Now() - time.Duration(max(h.contact.Load(), 0))
 }
 
-// gauges are the values that metrics read from the host.
-func (h *Host) gauges() metric.Gauges {
-	return metric.Gauges{
-		Fresh: func() float64 { return (time.Duration(h.fresh.Load()) - h.Now()).Seconds() },
-		Running: func() float64 {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			return float64(h.state.Running())
-		},
-		Revision: func() float64 { return float64(h.View().Revision()) },
-		Contact:  func() float64 { return h.contactAge().Seconds() },
-	}
-}
-
 // timelineTimeout bounds how long the time line waits for another host.
 const timelineTimeout = 2 * time.Second
 
--- /dev/null
+++ b/metric/metric_test.go
@@ -0,0 +1,51 @@
+package metric_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/metric"
+)
+
+// Guards against an attainment that counts slow, broken or abandoned answers, or misses good ones.
+func TestAttained(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		answer metric.Answer
+		want   bool
+	}{
+		"stream":          {metric.Answer{Complete: true, First: 1900 * ms, Gap: 36 * ms}, true},
+		"late token":      {metric.Answer{Complete: true, First: 1901 * ms, Gap: 36 * ms}, false},
+		"gap":             {metric.Answer{Complete: true, First: 10 * ms, Gap: 37 * ms}, false},
+		"cut":             {metric.Answer{First: 10 * ms, Gap: 10 * ms}, false},
+		"whole":           {metric.Answer{Complete: true, Whole: true, Generated: 101, First: 5500 * ms}, true},
+		"whole, too slow": {metric.Answer{Complete: true, Whole: true, Generated: 101, First: 5501 * ms}, false},
+		"whole, empty":    {metric.Answer{Complete: true, Whole: true, First: 1900 * ms}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { qt.Assert(t, test.answer.Attained(), qt.Equals, test.want) })
+	}
+}
+
+// Guards against measures that are never exported, and against callers that go away counting as misses.
+func TestExport(t *testing.T) {
+	c := qt.New(t)
+	m := metric.New(metric.Gauges{Rates: func() map[string]float64 { return map[string]float64{"a": 50} }})
+	answer := metric.Answer{Pool: "p", Account: "a", Result: "done", Model: true, Complete: true, Tokens: 30, First: time.Second}
+	m.CountAnswer(answer)
+	m.CountAnswer(metric.Answer{Pool: "p", Account: "a", Result: "cancelled", Model: true, Cancelled: true})
+	m.CountAnswer(metric.Answer{Pool: "p", Account: "a", Result: "cut", Model: true, Tokens: 3})
+	m.CountRefusal("a", "rate_limited")
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`attained_total{account="a",pool="p"} 1`, `model_requests_total{account="a",pool="p"} 2`, `tokens_total{account="a"} 33`,
+		`requests_total{account="a",result="cancelled"} 1`, `refused_total{account="a",reason="rate_limited"} 1`,
+		`account_rate{account="a"} 50`, `first_token_seconds_count{pool="p"} 1`, `token_gap_seconds_count{pool="p"} 1`,
+	} {
+		c.Check(recorder.Body.String(), qt.Contains, "magnoliahoist_"+line)
+	}
+}
