--- a/cli/status.go
+++ b/cli/status.go
@@ -5,9 +5,11 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
+	"magnoliahoist/document"
 	"magnoliahoist/operator"
 )
 
@@ -63,7 +65,7 @@
 	rows = append(rows, [][]any{
 		{"host", status.Host}, {"domain", status.Domain}, {"state", status.State}, {"revision", status.Revision},
 		{"tables", fmt.Sprintf("revision %d, edit %s", status.Head.Revision, status.Head.Edit)},
-		{"contact", status.Contact}, {"freshness", status.Freshness}, {"running", status.Running}, {"waiting", status.Waiting},
+		{"contact", round(status.Contact)}, {"freshness", round(status.Freshness)}, {"running", status.Running}, {"waiting", status.Waiting},
 	}...)
 	for _, m := range status.Members {
 		rows = append(rows, []any{"member", m.ID, m.Address, m.Domain, fmt.Sprintf("revision %d", m.Revision), mark(m.Silent, "silent")})
@@ -109,6 +111,9 @@
 	return rows
 }
 
+// round drops what is below a millisecond.
+func round(d document.Duration) time.Duration { return time.Duration(d).Round(time.Millisecond) }
+
 func mark(set bool, name string) string {
 	if set {
 		return name
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"testing"
 	"time"
 
@@ -49,3 +51,22 @@
 		c.Check(recorder.Body.String(), qt.Contains, "magnoliahoist_"+line)
 	}
 }
+
+// Guards against a metric that docs/operations.md does not explain.
+func TestDocumented(t *testing.T) {
+	zero := func() float64 { return 0 }
+	m := metric.New(metric.Gauges{Fresh: zero, Running: zero, Waiting: zero, Revision: zero, Contact: zero, Members: zero, Silent: zero,
+		Ejected: zero, Unheld: zero, Broken: zero, Rates: func() map[string]float64 { return map[string]float64{"a": 1} }})
+	m.CountAnswer(metric.Answer{Pool: "p", Account: "a", Model: true, Complete: true, Tokens: 1})
+	m.CountRefusal("a", "stale")
+	m.CountMove("p")
+	recorder := httptest.NewRecorder()
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	page, err := os.ReadFile("../docs/operations.md")
+	qt.Assert(t, err, qt.IsNil)
+	names := regexp.MustCompile(`# TYPE (magnoliahoist_\w+)`).FindAllStringSubmatch(recorder.Body.String(), -1)
+	qt.Assert(t, len(names) > 15, qt.IsTrue)
+	for _, name := range names {
+		qt.Check(t, string(page), qt.Contains, "`"+name[1]+"`")
+	}
+}
--- a/system/day_test.go
+++ b/system/day_test.go
@@ -112,6 +112,7 @@
 	c.Check(story, qt.Not(qt.Contains), issued.Key)
 	c.Check(d.do("timeline", "--trace"), qt.Contains, `"traceEvents"`)
 
+	d.failing(c, f)
 	d.hangup(c, f)
 	d.dead(c, f)
 
@@ -123,6 +124,22 @@
 	c.Check(f.chat(1, f.keys["yards"], "after", 2).status, qt.Equals, 200)
 }
 
+// failing kills an engine and looks for the attempts that failed there.
+func (d *desk) failing(c *qt.C, f *fleet) {
+	f.engines[1].kill()
+	f.eventually("the engine is ejected", func() bool {
+		// Retries are budgeted, so that not every request survives when most of a few fail.
+		answer := f.chat(0, f.keys["yards"], "engine gone", 2)
+		c.Check(answer.status == 200 || strings.Contains(answer.body, "endpoint_failed"), qt.IsTrue, qt.Commentf("%+v", answer))
+		return strings.Contains(d.do("status"), "endpoint engine-1 of pool inspection is ejected")
+	})
+	c.Check(d.do("timeline", "--kind", "ejected"), qt.Contains, "endpoint=engine-1")
+	c.Check(d.do("timeline", "--kind", "retried"), qt.Contains, "endpoint=engine-0")
+	for _, kind := range []string{"received", "failed", "retried", "finished", "answered"} {
+		c.Check(d.do("timeline", "--endpoint", "engine-1"), qt.Contains, " "+kind+" ")
+	}
+}
+
 // hangup changes the log level without a restart and looks for the line of a request.
 func (d *desk) hangup(c *qt.C, f *fleet) {
 	h := f.hosts[1]
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -142,3 +142,31 @@
 		qt.Assert(t, got, qt.Equals, kind)
 	}
 }
+
+// Guards against a story that lacks the events of a request which carry no endpoint or account.
+func TestFilterWholeRequests(t *testing.T) {
+	events := []timeline.Event{
+		{Kind: timeline.Received, Request: "r1"}, {Kind: timeline.Received, Request: "r2"},
+		{Kind: timeline.Sent, Request: "r1", Endpoint: "e1", Account: "a1"}, {Kind: timeline.Sent, Request: "r2", Endpoint: "e2", Account: "a2"},
+		{Kind: timeline.Ejected, Endpoint: "e1"}, {Kind: timeline.Borrowed, Account: "a1"}, {Kind: timeline.Answered, Request: "r1"},
+	}
+	tests := map[string]struct {
+		filter timeline.Filter
+		want   []timeline.Kind
+	}{
+		"request":          {timeline.Filter{Request: "r1"}, []timeline.Kind{timeline.Received, timeline.Sent, timeline.Answered}},
+		"endpoint":         {timeline.Filter{Endpoint: "e1"}, []timeline.Kind{timeline.Received, timeline.Sent, timeline.Ejected, timeline.Answered}},
+		"account":          {timeline.Filter{Account: "a1"}, []timeline.Kind{timeline.Received, timeline.Sent, timeline.Borrowed, timeline.Answered}},
+		"account and kind": {timeline.Filter{Account: "a1", Kinds: []timeline.Kind{timeline.Received}}, []timeline.Kind{timeline.Received}},
+		"both":             {timeline.Filter{Account: "a1", Endpoint: "e2"}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []timeline.Kind
+			for _, e := range test.filter.Select(events) {
+				got = append(got, e.Kind)
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
