replica: count members that others removed as running until the removal is settled

Cause: the specification's search with removed members that keep running (REMOVE, ZOMBIE, 3 hosts) violates acceptance: one host removes two others that are cut off, is then the majority alone and accepts changes, while the two keep each other fresh. Ruled out: allowing a removal only after a majority has applied everything; three of five hosts that die at once would then block every later change. Change: the tombstone of a removal names group and joining revision; such a member counts as missing in every earlier member set until the removal is settled or a minute has passed.

--- a/lease/status.go
+++ b/lease/status.go
@@ -54,17 +54,21 @@
 		current := s.Listed != nil && s.ListAge >= 0 && s.ListAge <= maxListAge
 		dead := s.Replaced[m.ID] || current && !s.Listed(m) && s.silent(now, m.ID)
 		if dead && m.ID != s.Self {
-			list = append(list, Leave(s.View, m.ID))
+			list = append(list, leave(s.View, m.ID, replica.EncodeRemoved(m)))
 		}
 	}
 	return list
 }
 
-// Leave returns the transaction that removes a member.
+// Leave returns the transaction with which a member that has stopped serving removes itself.
 func Leave(view *replica.View, member string) table.Txn {
+	return leave(view, member, replica.EncodeGone())
+}
+
+func leave(view *replica.View, member string, tombstone []byte) table.Txn {
 	key := replica.KeyForMember(member)
 	return table.Txn{
 		Compares: []table.Compare{{Key: key, Revision: view.RevisionOf(key)}},
-		Writes:   []table.Write{{Key: key, Value: replica.EncodeGone()}},
+		Writes:   []table.Write{{Key: key, Value: tombstone}},
 	}
 }
--- a/replica/accept.go
+++ b/replica/accept.go
@@ -40,34 +40,81 @@
 	if revision > r.view.Revision() || len(r.view.groups) == 0 {
 		return false
 	}
-	for _, members := range r.view.groups {
-		if !r.acceptedBy(members, revision) {
+	for group, members := range r.view.groups {
+		if r.missing(members, revision) > len(members)-majority(len(members)) {
+			return false
+		}
+		if !r.acceptedEarlier(group, revision) {
 			return false
 		}
 	}
 	return true
 }
 
-// acceptedBy judges one group, whose members are in the order of joining. Members that are gone have
-// stopped and make no host fresh, so earlier sets are counted without them, which is the stricter count.
-func (r *Replica) acceptedBy(members []Member, revision int64) bool {
+// missing returns how many members are not known to have applied the revision.
+func (r *Replica) missing(members []Member, revision int64) int {
 	missing := 0
-	for i, m := range members {
+	for _, m := range members {
 		if !r.applied(m.ID, revision) {
 			missing++
 		}
-		last := i == len(members)-1
-		if last {
-			return len(members)-missing >= majority(len(members))
+	}
+	return missing
+}
+
+// acceptedEarlier judges the member sets that a fresh host with an older view may count by. Members that
+// left by themselves have stopped and are not counted, which is the stricter count; members that others
+// removed may still run and count as missing.
+func (r *Replica) acceptedEarlier(group string, revision int64) bool {
+	if r.settled >= revision {
+		return true
+	}
+	running := r.mayRun(group)
+	for _, at := range r.setChanges(group, running, revision) {
+		size, missing := r.earlierSet(group, running, at, revision)
+		if size > 0 && missing >= majority(size) {
+			return false
+		}
+	}
+	return true
+}
+
+// setChanges returns the revisions, from the settled one to the one given, at which a set of members began.
+func (r *Replica) setChanges(group string, running []removed, revision int64) []int64 {
+	changes := []int64{r.settled}
+	add := func(at int64) {
+		if at > r.settled && at < revision {
+			changes = append(changes, at)
 		}
-		if m.Revision > revision || members[i+1].Revision <= r.settled {
+	}
+	for _, m := range r.view.groups[group] {
+		add(m.Revision)
+	}
+	for _, m := range running {
+		add(m.joined)
+		add(m.gone)
+	}
+	return changes
+}
+
+// earlierSet returns the size of the set of members at a revision, and how many of it miss the later one.
+func (r *Replica) earlierSet(group string, running []removed, at, revision int64) (size, missing int) {
+	for _, m := range r.view.groups[group] {
+		if m.Revision > at {
 			continue
 		}
-		if missing >= majority(i+1) {
-			return false
+		size++
+		if !r.applied(m.ID, revision) {
+			missing++
 		}
 	}
-	return true
+	for _, m := range running {
+		if m.joined <= at && m.gone > at {
+			size++
+			missing++
+		}
+	}
+	return size, missing
 }
 
 // Progress returns how many members have applied the revision, and how many there are.
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -28,8 +28,15 @@
 	born     time.Duration
 	side     int // hosts and the table reach each other on the same side of a partition
 	dead     bool
+	expelled expulsion
 }
 
+// expulsion says when a host that others removed stops at the latest.
+type expulsion struct{ stops time.Duration }
+
+// IsZero reports whether the host was not removed.
+func (e expulsion) IsZero() bool { return e.stops == 0 }
+
 func (h *host) clock(now time.Duration) time.Duration {
 	return time.Duration(float64(now-h.born) * h.rate)
 }
@@ -184,6 +191,9 @@
 
 // check tests the invariants that hold after every step.
 func (c *cluster) check(t *rapid.T) {
+	for _, h := range c.hosts {
+		h.dead = h.dead || !h.expelled.IsZero() && c.now >= h.expelled.stops
+	}
 	for _, h := range c.live() {
 		revision := h.replica.View().Revision()
 		if revision < c.highest[h.id] {
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -61,6 +61,7 @@
 		},
 		"die":      func(t *rapid.T) { c.drawLive(t).dead = true },
 		"remove":   c.remove,
+		"expel":    c.expel,
 		"tick":     func(t *rapid.T) { c.drawLive(t).update(c.now) },
 		"takeover": c.takeover,
 		"drain":    c.drain,
@@ -135,6 +136,18 @@
 }
 
 // remove commits the tombstone of a dead host.
+// expel removes a host that still runs; it stops when it has been off the platform's list for the grace.
+func (c *cluster) expel(t *rapid.T) {
+	h := c.drawLive(t)
+	key := replica.KeyForMember(h.id)
+	if c.tableDown || c.rows[key].Revision == 0 || !h.expelled.IsZero() {
+		t.Skip("not possible")
+	}
+	member := replica.Member{ID: h.id, Group: "g", Revision: c.rows[key].Revision}
+	c.commit(table.Txn{Writes: []table.Write{{Key: key, Value: replica.EncodeRemoved(member)}}})
+	h.expelled = expulsion{c.now + replica.RemovedGrace - replica.RemovedGrace/100}
+}
+
 func (c *cluster) remove(t *rapid.T) {
 	if c.tableDown {
 		t.Skip("table is down")
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -20,6 +20,8 @@
 	starts     map[string]time.Duration // start of the last exchange with each member
 	acked      map[string]int64         // revision that each member has applied
 	tableAt    time.Duration            // last known contact of any host with the table service
+	removedAt  map[string]time.Duration // when this host learned that a member was removed by others
+	learnedAt  time.Duration            // of the last exchange
 	settled    int64                    // no fresh host has a lower revision
 	settling   int64                    // accepted, becomes settled a window after settlingAt
 	settlingAt time.Duration
@@ -30,6 +32,7 @@
 	return &Replica{
 		id: id, group: group, window: window, view: NewView(), freshFrom: never, tableAt: never,
 		starts: map[string]time.Duration{}, acked: map[string]int64{},
+		removedAt: map[string]time.Duration{},
 	}
 }
 
@@ -48,7 +51,9 @@
 	if s.Revision > r.view.Revision() {
 		r.view = r.view.With(s.Rows, s.Revision)
 		r.forgetGone()
+		r.noteRemoved(now)
 	}
+	r.learnedAt = max(r.learnedAt, now)
 	switch from := source.(type) {
 	case FromTable:
 		r.freshFrom = max(r.freshFrom, started)
--- a/replica/row.go
+++ b/replica/row.go
@@ -96,11 +96,26 @@
 // EncodeLease returns the value of a lease row.
 func EncodeLease(l Lease) []byte { return encode(l) }
 
+// tombstone is the value of a row whose entry is gone.
+type tombstone struct {
+	Gone    bool     `json:"gone"`
+	Removed *removal `json:"removed,omitempty"`
+}
+
+// removal is kept of a member that others removed, because it may still run for a while.
+type removal struct {
+	Group  string `json:"group"`
+	Joined int64  `json:"joined"` // revision
+}
+
+// EncodeRemoved returns the tombstone of a member that another host removes.
+func EncodeRemoved(m Member) []byte {
+	return encode(tombstone{Gone: true, Removed: &removal{Group: m.Group, Joined: m.Revision}})
+}
+
 // isGone reports whether a value is a tombstone.
 func isGone(value []byte) bool {
-	var mark struct {
-		Gone bool `json:"gone"`
-	}
+	var mark tombstone
 	return json.Unmarshal(value, &mark) == nil && mark.Gone
 }
 
--- a/replica/view.go
+++ b/replica/view.go
@@ -25,6 +25,7 @@
 	others   *section[struct{}]
 	services []route.Route       // by length of the prefix, longest first
 	groups   map[string][]Member // in the order of joining
+	removed  []removed
 }
 
 // NewView returns an empty view at revision 0.
@@ -73,6 +74,7 @@
 	}
 	if next.members != v.members {
 		next.groups = groupsOf(next.members.list())
+		next.removed = removedOf(next.members.rows)
 	}
 	return &next
 }
