--- a/state/state.go
+++ b/state/state.go
@@ -27,6 +27,7 @@
 	settings Settings
 	replica  *replica.Replica
 	pools    map[string]*poolState
+	ordered  []*poolState // in the order in which they became known
 	accounts map[string]*accountState
 	requests map[uint64]*request
 	silent   map[string]time.Duration // members that do not answer, since when
--- a/state/sync.go
+++ b/state/sync.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"magnoliahoist/endpoint"
@@ -27,7 +30,7 @@
 		s.stopAll(now, Stale)
 		return
 	}
-	for _, p := range s.pools {
+	for _, p := range s.ordered {
 		for _, item := range p.queue.Expire(now) {
 			s.expire(now, item.ID)
 		}
@@ -68,10 +71,17 @@
 	s.refuse(r, Overloaded, minBorrowPause)
 }
 
+// sortedRequests returns the requests by id, so that the same events give the same effects.
+func (s *State) sortedRequests() []*request {
+	list := slices.Collect(maps.Values(s.requests))
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.Request, b.Request) })
+	return list
+}
+
 // stopAll refuses every waiting request and cuts every running one.
 func (s *State) stopAll(now time.Duration, reason Reason) {
-	for id, r := range s.requests {
-		s.stop(now, id, r, reason)
+	for _, r := range s.sortedRequests() {
+		s.stop(now, r.Request, r, reason)
 	}
 }
 
@@ -103,14 +113,14 @@
 
 // recheck stops requests that the changed tables or keys no longer allow.
 func (s *State) recheck(now time.Duration) {
-	for id, r := range s.requests {
+	for _, r := range s.sortedRequests() {
 		found, known := s.routeOf(r.Arrive)
 		name, reason := s.accountOf(r.Arrive, found, known)
 		if reason == NoReason && (!known || !found.Allows(name)) {
 			reason = NotAllowed
 		}
 		if reason != NoReason {
-			s.stop(now, id, r, reason)
+			s.stop(now, r.Request, r, reason)
 		}
 	}
 }
@@ -122,6 +132,7 @@
 		if p == nil {
 			p = &poolState{queue: queue.New(), view: endpoint.New(s.settings.View)}
 			s.pools[entry.Name] = p
+			s.ordered = append(s.ordered, p)
 		}
 		p.pool = entry
 		p.view.SetEndpoints(now, endpointsOf(entry))
@@ -155,7 +166,7 @@
 
 func (s *State) listed(e Listed) {
 	s.leaving = e.Leaving
-	for _, p := range s.pools {
+	for _, p := range s.ordered {
 		s.setLeaving(p)
 	}
 }
@@ -180,7 +191,7 @@
 }
 
 func (s *State) dispatchAll(now time.Duration) {
-	for _, p := range s.pools {
+	for _, p := range s.ordered {
 		if p.queue.Len() > 0 {
 			s.dispatch(now, p)
 		}
