--- a/caller/request.go
+++ b/caller/request.go
@@ -126,6 +126,9 @@
 	if err := json.Unmarshal(body, &c.fields); err != nil {
 		return c, malformed("the body is not a JSON object")
 	}
+	if name, found := c.ambiguous(); found {
+		return c, malformed(name + " must be written in lower case")
+	}
 	if err := json.Unmarshal(c.fields[fieldModel], &c.model); err != nil || c.model == "" {
 		return c, malformed("model must be the name of a route")
 	}
@@ -142,6 +145,25 @@
 	return c, nil
 }
 
+// readFields are the fields that the host reads or writes.
+var readFields = []string{
+	fieldModel, fieldAdapter, fieldStream, fieldMaxTokens, fieldMaxCompletionTokens,
+	fieldPrompt, fieldMessages, fieldChoices, fieldBestOf,
+}
+
+// ambiguous returns a field that differs from one of the host's only in case; some endpoints read it as
+// the same field, which would get around the limit on tokens.
+func (c *completion) ambiguous() (string, bool) {
+	for name := range c.fields {
+		for _, known := range readFields {
+			if name != known && strings.EqualFold(name, known) {
+				return known, true
+			}
+		}
+	}
+	return "", false
+}
+
 func (c *completion) readOptions() *refusal {
 	if raw := c.fields[fieldStream]; len(raw) > 0 && json.Unmarshal(raw, &c.stream) != nil {
 		return malformed("stream must be true or false")
