host, placement, peer: place models while holding a pool's lease

The host read no endpoint and sent no order, so models had to be resident from the start. The holder of a pool's lease now reads GET /v2/load of every endpoint once a second, feeds placement and the reducer, records orders and sends them after a check of the lease at the moment of each send. Other hosts ask it for the pool's summary once a second; the request carries the demand of their callers, the answer also what is resident and which endpoints leave.

The leaving flag of an endpoint's own report was overwritten by the next host list; both are kept now. The limits of the weight store are settings.

The stand-in engine compared sequences for each model only; it now refuses every pair of fence and sequence not above the highest seen, as placement assumes, and a copy of a running order gets that order's answer.

--- a/config/host.go
+++ b/config/host.go
@@ -26,6 +26,7 @@
 	Lag        document.Duration `json:"lag"`
 	Holders    int               `json:"holders"`
 	Overcommit float64           `json:"overcommit"`
+	Placement  Placement         `json:"placement"`
 	Log        Log               `json:"log"`
 	Ring       int               `json:"ring"`
 }
@@ -72,6 +73,14 @@
 	Call        document.Duration `json:"call"`
 }
 
+// Placement bounds what placement asks of the weight store, over all pools, and sizes replicas.
+type Placement struct {
+	Rate    float64 `json:"rate"`    // model loads per second
+	Full    int     `json:"full"`    // model loads at once
+	Knee    int     `json:"knee"`    // adapter loads at once
+	Replica float64 `json:"replica"` // tokens per second
+}
+
 // Log says what is logged and how.
 type Log struct {
 	Level  string `json:"level"`
--- a/config/validate.go
+++ b/config/validate.go
@@ -31,6 +31,7 @@
 	h.checkTimes(v)
 	v.require(h.Holders >= 1 && h.Holders <= 64, "holders", h.Holders)
 	v.require(h.Overcommit >= 1 && h.Overcommit <= 4, "overcommit", h.Overcommit)
+	h.Placement.check(v)
 	v.require(slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, h.Log.Level), "log.level", h.Log.Level)
 	v.require(h.Log.Format == "text" || h.Log.Format == "json", "log.format", h.Log.Format)
 	v.require(h.Ring >= 16 && h.Ring <= 1<<20, "ring", h.Ring)
@@ -87,6 +88,13 @@
 	v.require(l.Call > 0, "limits.call", l.Call)
 }
 
+func (p Placement) check(v *validator) {
+	v.require(p.Rate >= 0.01 && p.Rate <= 10_000, "placement.rate", p.Rate)
+	v.require(p.Full >= 1 && p.Full <= 10_000, "placement.full", p.Full)
+	v.require(p.Knee >= 1 && p.Knee <= 100_000, "placement.knee", p.Knee)
+	v.require(p.Replica >= 0 && p.Replica <= 1_000_000, "placement.replica", p.Replica)
+}
+
 // checkTimes bounds the window at 5 s, because a change is in force one window after
 // its acceptance and has to be in force within 10 s altogether.
 func (h Host) checkTimes(v *validator) {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -71,7 +73,7 @@
 	return s
 }
 
-// load writes the example tables and keys, and waits until they are in force.
+// load writes the example tables and keys, and waits until the example call succeeds.
 func load(ctx context.Context, h *host.Host, addresses map[string]string) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -94,7 +96,27 @@
 			return errors.Annotate(err, "dev: unable to issue a key")
 		}
 	}
-	return errors.Annotate(await(ctx, h.Ready), "dev: the accounts have no tokens yet")
+	if err := await(ctx, h.Ready); err != nil {
+		return errors.Annotate(err, "dev: the accounts have no tokens yet")
+	}
+	return errors.Annotate(await(ctx, func() bool { return exampleCall(ctx) }), "dev: the example model is not loaded yet")
+}
+
+// exampleCall makes the call of the greeting and reports whether it succeeds.
+func exampleCall(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callerAddress+chatPath, strings.NewReader(exampleBody))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+KeyKyushu)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
 }
 
 func await(ctx context.Context, holds func() bool) error {
@@ -108,6 +130,12 @@
 	return nil
 }
 
+// The example call.
+const (
+	chatPath    = "/v1/chat/completions"
+	exampleBody = `{"model": "history", "max_tokens": 12, "messages": [{"role": "user", "content": "Summarise ladder 4711."}]}`
+)
+
 // greeting tells a newcomer what runs and how to call it.
 const greeting = `magnoliahoist runs on this machine with example tables.
 callers:   http://` + callerAddress + `   keys: ` + KeyKyushu + `, ` + KeyTranGia + `
@@ -115,7 +143,7 @@
 
 Ask for an inspection history summary:
 
-curl -s http://` + callerAddress + `/v1/chat/completions -H 'Authorization: Bearer ` + KeyKyushu + `' -H 'Content-Type: application/json' -d '{"model": "history", "max_tokens": 12, "messages": [{"role": "user", "content": "Summarise ladder 4711."}]}'
+curl -s http://` + callerAddress + chatPath + ` -H 'Authorization: Bearer ` + KeyKyushu + `' -H 'Content-Type: application/json' -d '` + exampleBody + `'
 
 Stop with Ctrl-C.
 `
--- a/dev/fleet.go
+++ b/dev/fleet.go
@@ -6,7 +6,6 @@
 	"github.com/juju/errors"
 
 	"magnoliahoist/document"
-	"magnoliahoist/fakeengine"
 )
 
 // Delays and sizes of the example engines.
@@ -15,10 +14,6 @@
 	perToken   = 5_000_000  // nanoseconds
 	slots      = 16
 	memory     = 80_000_000_000 // bytes
-	inspect7B  = 15_000_000_000 // bytes
-	adapter7B  = 50_000_000     // bytes
-	script8B   = 17_000_000_000 // bytes
-	casting3B  = 7_000_000_000  // bytes
 )
 
 // fleet is a set of running stand-ins.
@@ -54,14 +49,6 @@
 // newFleet runs the stand-ins of the example.
 func newFleet() (*fleet, error) {
 	f := &fleet{addresses: map[string]string{}}
-	inspect := []fakeengine.Resident{
-		{Kind: fakeengine.Model, Name: "inspect-7b", Version: "1", Memory: inspect7B},
-		{Kind: fakeengine.Adapter, Name: "history", Version: "1", Model: "inspect-7b", Memory: adapter7B},
-	}
-	scripts := []fakeengine.Resident{
-		{Kind: fakeengine.Model, Name: "script-8b", Version: "1", Memory: script8B},
-		{Kind: fakeengine.Model, Name: "casting-3b", Version: "1", Memory: casting3B},
-	}
 	for _, s := range []struct {
 		name, kind string
 		options    Options
@@ -70,10 +57,10 @@
 		{"objects", "objects", Options{}},
 		{"hosts", "hosts", Options{}},
 		{"weights", "weights", Options{Rate: 2, Full: 10}},
-		{"fukuoka-1", "engine", engine(inspect, true)},
-		{"kumamoto-1", "engine", engine(inspect, false)},
-		{"thu-duc-1", "engine", engine(scripts, true)},
-		{"tan-binh-1", "engine", engine(scripts, true)},
+		{"fukuoka-1", "engine", engine(true)},
+		{"kumamoto-1", "engine", engine(false)},
+		{"thu-duc-1", "engine", engine(true)},
+		{"tan-binh-1", "engine", engine(true)},
 		{"tags-1", "service", Options{Name: "tags-1"}},
 		{"desk-1", "service", Options{Name: "desk-1"}},
 	} {
@@ -85,13 +72,13 @@
 	return f, nil
 }
 
-func engine(resident []fakeengine.Resident, fenced bool) Options {
+// engine is an engine that holds nothing; placement loads the models of the example.
+func engine(fenced bool) Options {
 	return Options{
-		Slots:    slots,
-		First:    document.Duration(firstToken),
-		Token:    document.Duration(perToken),
-		Memory:   memory,
-		Fenced:   fenced,
-		Resident: resident,
+		Slots:  slots,
+		First:  document.Duration(firstToken),
+		Token:  document.Duration(perToken),
+		Memory: memory,
+		Fenced: fenced,
 	}
 }
--- a/fakeengine/order.go
+++ b/fakeengine/order.go
@@ -89,7 +89,7 @@
 	var one *held
 	var fresh bool
 	var refusal *problem
-	done, stale := e.orders.admit(o, name, e.fenced(), func() {
+	done, stale := e.orders.admit(o, e.fenced(), func() {
 		one, fresh, refusal = e.memory.reserve(Resident{Kind: o.Kind, Name: name, Version: o.Version, Model: o.Model, Memory: o.Memory})
 	})
 	if stale != nil || done.Result != "" {
@@ -119,7 +119,7 @@
 func (e *Engine) unload(name string, o Order) (Done, *problem) {
 	var leaving, loading []*held
 	r := Resident{Kind: o.Kind, Name: name, Version: o.Version, Model: o.Model}
-	done, stale := e.orders.admit(o, name, e.fenced(), func() { leaving, loading = e.memory.release(r) })
+	done, stale := e.orders.admit(o, e.fenced(), func() { leaving, loading = e.memory.release(r) })
 	if stale != nil || done.Result != "" {
 		return done, stale
 	}
--- a/fakeengine/order_test.go
+++ b/fakeengine/order_test.go
@@ -45,6 +45,12 @@
 			{"load", "n", "1", 1, 1, 10, 200}, {"unload", "n", "2", 1, 2, 0, 200}, {"load", "n", "1", 1, 1, 10, 200}}, 60, 0},
 		"old sequence": {true, []step{
 			{"unload", "n", "2", 1, 2, 0, 200}, {"load", "n", "1", 1, 1, 10, 409}}, 50, 0},
+		"old sequence, another model": {true, []step{
+			{"load", "n", "2", 1, 2, 10, 200}, {"load", "o", "1", 1, 1, 10, 409}}, 60, 0},
+		"same sequence": {true, []step{
+			{"load", "n", "1", 1, 1, 10, 200}, {"load", "o", "2", 1, 1, 10, 409}}, 60, 0},
+		"sequence of a lower number": {true, []step{
+			{"load", "n", "1", 1, 9, 10, 200}, {"load", "o", "2", 2, 1, 10, 200}}, 70, 0},
 		"loaded twice": {true, []step{
 			{"load", "n", "1", 1, 1, 10, 200}, {"load", "n", "2", 1, 2, 10, 200}}, 60, 0},
 	}
--- a/fakeengine/orders.go
+++ b/fakeengine/orders.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 )
 
@@ -36,18 +35,16 @@
 
 // orders holds the fencing state and the results of recent orders.
 type orders struct {
-	mutex     sync.Mutex
-	fence     int64
-	sequences map[string]mark // by resident
-	done      []Done
-	problems  map[string]*problem // of refused and failed orders in done
+	mutex    sync.Mutex
+	fence    int64
+	sequence int64                    // the highest seen with fence
+	running  map[string]chan struct{} // by id, on a fenced engine; closed when the order has ended
+	done     []Done
+	problems map[string]*problem // of refused and failed orders in done
 }
 
-// mark is the highest pair of fence and sequence seen for a resident.
-type mark struct{ fence, sequence int64 }
-
 func newOrders() *orders {
-	return &orders{sequences: map[string]mark{}, problems: map[string]*problem{}}
+	return &orders{running: map[string]chan struct{}{}, problems: map[string]*problem{}}
 }
 
 // confirm raises the highest number seen.
@@ -61,43 +58,61 @@
 	if fence < o.fence {
 		return &problem{http.StatusConflict, staleFence, fmt.Sprintf("fence %d is below %d", fence, o.fence)}
 	}
-	o.fence = fence
+	if fence > o.fence {
+		o.fence, o.sequence = fence, 0
+	}
 	return nil
 }
 
 // admit runs start under the lock when the order may be carried out, so that no order with a lower
-// number starts once a higher one is confirmed. On a fenced engine an order that was answered
-// before gets the same answer, and a late copy of an earlier order for the resident is refused.
-func (o *orders) admit(order Order, name string, fenced bool, start func()) (Done, *problem) {
+// number starts once a higher one is confirmed. A fenced engine refuses any pair of fence and sequence
+// that is not above the highest seen; an order that was answered before gets the same answer, and a
+// copy of one that is running gets its answer when it has ended.
+func (o *orders) admit(order Order, fenced bool, start func()) (Done, *problem) {
+	for {
+		done, refusal, running := o.enter(order, fenced, start)
+		if running == nil {
+			return done, refusal
+		}
+		<-running
+	}
+}
+
+// enter is admit for orders that are not running; for those it returns a channel that closes at their end.
+func (o *orders) enter(order Order, fenced bool, start func()) (Done, *problem, <-chan struct{}) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if !fenced {
 		o.fence = max(o.fence, order.Fence)
 		start()
-		return Done{}, nil
+		return Done{}, nil, nil
 	}
 	if refusal := o.raise(order.Fence); refusal != nil {
-		return o.refuse(order, refusal)
+		done, refusal := o.refuse(order, refusal)
+		return done, refusal, nil
+	}
+	if running := o.running[order.Order]; running != nil {
+		return Done{}, nil, running
 	}
 	if done, ok := o.find(order.Order); ok {
-		return done, o.problems[order.Order]
+		return done, o.problems[order.Order], nil
 	}
-	key := strings.Join([]string{order.Kind.String(), order.Model, name, order.Version}, "\x00")
-	seen := o.sequences[key]
-	if order.Sequence > 0 && order.Fence == seen.fence && order.Sequence < seen.sequence {
-		return o.refuse(order, &problem{http.StatusConflict, staleSequence,
-			fmt.Sprintf("sequence %d is below %d", order.Sequence, seen.sequence)})
+	if order.Sequence > 0 && order.Sequence <= o.sequence {
+		done, refusal := o.refuse(order, &problem{http.StatusConflict, staleSequence,
+			fmt.Sprintf("sequence %d is not above %d", order.Sequence, o.sequence)})
+		return done, refusal, nil
 	}
-	if order.Sequence > 0 {
-		o.sequences[key] = mark{order.Fence, order.Sequence}
+	o.sequence = max(o.sequence, order.Sequence)
+	if order.Order != "" {
+		o.running[order.Order] = make(chan struct{})
 	}
 	start()
-	return Done{}, nil
+	return Done{}, nil, nil
 }
 
 func (o *orders) refuse(order Order, refusal *problem) (Done, *problem) {
 	done, ok := o.find(order.Order)
-	if !ok {
+	if !ok && o.running[order.Order] == nil {
 		done = Done{Order: order.Order, Result: Refused}
 		o.put(done, refusal)
 	}
@@ -121,6 +136,10 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.put(Done{Order: order.Order, Result: result}, refusal)
+	if running := o.running[order.Order]; running != nil {
+		delete(o.running, order.Order)
+		close(running)
+	}
 }
 
 func (o *orders) put(done Done, refusal *problem) {
--- a/host/host.go
+++ b/host/host.go
@@ -49,6 +49,7 @@
 	mu      sync.Mutex
 	state   *state.State
 	waiting map[uint64]waiter
+	meters  map[string]*meter // of demand, by pool
 
 	view    atomic.Pointer[replica.View]
 	fresh   atomic.Int64 // end of freshness, nanoseconds since start
@@ -56,6 +57,8 @@
 	left    atomic.Bool  // the member row is being removed: the host no longer answers as a member
 	drain   drainState
 
+	managers managers
+
 	callerListener   *listener
 	operatorListener *listener
 	peerListener     *listener
--- a/host/new.go
+++ b/host/new.go
@@ -48,6 +48,8 @@
 		clock:    &timeline.Clock{},
 		ring:     timeline.NewRing(settings.Ring),
 		waiting:  map[uint64]waiter{},
+		meters:   map[string]*meter{},
+		managers: managers{byPool: map[string]*manager{}},
 	}
 	h.drain.began = make(chan struct{})
 	h.contact.Store(noContact)
--- a/host/service.go
+++ b/host/service.go
@@ -105,11 +105,6 @@
 	return &peer.TimelineResponse{Reply: s.reply(r.GetHeader()), Events: events}, nil
 }
 
-// Summary returns what this host knows of a pool's endpoints when it holds the pool's lease.
-func (s *peerService) Summary(ctx context.Context, r *peer.SummaryRequest) (*peer.SummaryResponse, error) {
-	return &peer.SummaryResponse{Reply: s.reply(r.GetHeader())}, nil
-}
-
 func encodeEvents(events []timeline.Event) ([]*peer.Event, error) {
 	list := make([]*peer.Event, len(events))
 	for i, event := range events {
--- a/host/start.go
+++ b/host/start.go
@@ -23,6 +23,8 @@
 	}
 	h.tomb.Go(h.join)
 	h.tomb.Go(h.watchHosts)
+	h.tomb.Go(h.watchLeases)
+	h.tomb.Go(h.watchSummaries)
 	h.log.Info("host: started", "id", h.id, "domain", h.settings.Domain,
 		"callers", h.callerListener.address(), "operators", h.operatorListener.address(), "peers", h.peerListener.address())
 	return nil
--- a/peer/client.go
+++ b/peer/client.go
@@ -102,9 +102,10 @@
 	return call(ctx, c, to, borrowTimeout, Peer.Repay, request)
 }
 
-// Summary returns the load of the pool's endpoints from the lease holder.
-func (c *Client) Summary(ctx context.Context, to Target, from Sender, pool string) (*SummaryResponse, error) {
-	return call(ctx, c, to, readTimeout, Peer.Summary, &SummaryRequest{Header: header(to, from), Pool: pool})
+// Summary tells the lease holder the demand on this host and returns the load of the pool's endpoints.
+func (c *Client) Summary(ctx context.Context, to Target, from Sender, pool string, demands []*Demand) (*SummaryResponse, error) {
+	request := &SummaryRequest{Header: header(to, from), Pool: pool, Demands: demands}
+	return call(ctx, c, to, readTimeout, Peer.Summary, request)
 }
 
 // Timeline returns the member's events after the stamp.
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -198,6 +198,12 @@
 	return 0
 }
 
+// Sequence returns the last sequence number used.
+func (m *Manager) Sequence() int64 { return m.sequence }
+
+// Skip makes later orders use sequence numbers, and thus ids, above one that was used before.
+func (m *Manager) Skip(sequence int64) { m.sequence = max(m.sequence, sequence) }
+
 // issue reserves the memory of a new order and returns it.
 func (m *Manager) issue(now time.Duration, l *ledger, kind Kind, item Item, memory int64) Order {
 	m.sequence++
--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -105,7 +105,11 @@
 
 // settle ends a request whose answer, or the part of it that there is, was handed to the caller.
 func (s *State) settle(now time.Duration, r *request, e Finished) {
-	s.giveBack(now, r, s.unused(r, e))
+	unused := s.unused(r, e)
+	if r.route.Kind == route.Model {
+		s.pools[r.route.Pool].used[r.route.Model] += max(r.bound-unused, 0)
+	}
+	s.giveBack(now, r, unused)
 	delete(s.requests, r.Request)
 }
 
--- a/state/inspect.go
+++ b/state/inspect.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"maps"
 	"time"
 
 	"magnoliahoist/endpoint"
@@ -42,3 +43,14 @@
 	}
 	return true
 }
+
+// Used returns the tokens that this host's callers have used of every model of a pool since the start.
+func (s *State) Used(pool string) map[string]int64 {
+	if p := s.pools[pool]; p != nil {
+		return maps.Clone(p.used)
+	}
+	return nil
+}
+
+// Leaving reports whether the platform's list says that the endpoint at an address is leaving.
+func (s *State) Leaving(address string) bool { return s.leaving[address] }
--- a/state/state.go
+++ b/state/state.go
@@ -43,6 +43,9 @@
 	pool  pool.Pool
 	queue *queue.Queue
 	view  *endpoint.View
+
+	leaving map[string]bool  // endpoints that say so in their last report
+	used    map[string]int64 // tokens used since the start, by model
 }
 
 // accountState is what the host keeps of one client account.
--- a/state/sync.go
+++ b/state/sync.go
@@ -120,7 +120,12 @@
 	for _, entry := range s.replica.View().Pools() {
 		p := s.pools[entry.Name]
 		if p == nil {
-			p = &poolState{queue: queue.New(), view: endpoint.New(s.settings.View)}
+			p = &poolState{
+				queue:   queue.New(),
+				view:    endpoint.New(s.settings.View),
+				leaving: map[string]bool{},
+				used:    map[string]int64{},
+			}
 			s.pools[entry.Name] = p
 		}
 		p.pool = entry
@@ -160,9 +165,10 @@
 	}
 }
 
+// setLeaving marks the endpoints that are leaving by the platform's list or by their own report.
 func (s *State) setLeaving(p *poolState) {
 	for _, e := range p.pool.Endpoints {
-		p.view.SetLeaving(e.Name, s.leaving[e.Address])
+		p.view.SetLeaving(e.Name, s.leaving[e.Address] || p.leaving[e.Name])
 	}
 }
 
@@ -174,8 +180,9 @@
 	for _, load := range e.Endpoints {
 		p.view.SetReport(now, load.Endpoint, load.Report)
 		p.view.SetHolding(load.Endpoint, load.Holding)
-		p.view.SetLeaving(load.Endpoint, load.Leaving)
+		p.leaving[load.Endpoint] = load.Leaving
 	}
+	s.setLeaving(p)
 	s.dispatch(now, p)
 }
 
