bench: measure the policy of the reducers on a virtual clock

The command drives one reducer for each host with seeded arrivals against a small model of endpoints, and the same arrivals with each baseline. FirstCome in the reducer's settings serves queues in order of arrival; only the baseline sets it.

--- /dev/null
+++ b/bench/report.go
@@ -0,0 +1,109 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+)
+
+// Options say what the benchmark runs.
+type Options struct {
+	Dir     string // with the deployments
+	Seeds   int
+	Jobs    int    // runs at once
+	Input   string // only this one when set
+	Variant string // only this one when set
+	Detail  bool   // reasons of wrongful refusals
+}
+
+// deployments are the directories of contrib.
+var deployments = []string{"kyushu", "trangia"}
+
+// Report runs the benchmark and writes the least, median and greatest of each measure.
+func Report(ctx context.Context, o Options, out io.Writer) error {
+	fmt.Fprintf(out, "seeds 1 to %d; least median greatest\n", o.Seeds)
+	for _, name := range deployments {
+		d, err := Load(o.Dir, name)
+		if err != nil {
+			return fmt.Errorf("bench: unable to load deployment %q: %w", name, err)
+		}
+		for _, in := range Inputs() {
+			if o.Input != "" && o.Input != in.Name {
+				continue
+			}
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			reportInput(o, d, in, out)
+		}
+	}
+	return nil
+}
+
+func reportInput(o Options, d Deployment, in Input, out io.Writer) {
+	fmt.Fprintf(out, "\n%s, %s\n", d.Name, in.Name)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "variant\tattained/acc/min\tattained %\tmoves\tworst account %\tJain\twrongful %\tfailed %\tabove limit")
+	var variants []Variant
+	for _, v := range Variants() {
+		if o.Variant == "" || o.Variant == v.Name {
+			variants = append(variants, v)
+		}
+	}
+	results := runAll(o, d, in, variants)
+	for i, v := range variants {
+		list := results[i]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", v.Name,
+			spread(list, "%.1f", func(r Result) float64 { return r.Attained }),
+			spread(list, "%.1f", func(r Result) float64 { return 100 * r.Share }),
+			spread(list, "%.0f", func(r Result) float64 { return r.Moves }),
+			spread(list, "%.1f", func(r Result) float64 { return 100 * r.Worst }),
+			spread(list, "%.3f", func(r Result) float64 { return r.Jain }),
+			spread(list, "%.2f", func(r Result) float64 { return 100 * r.Wrong }),
+			spread(list, "%.2f", func(r Result) float64 { return 100 * r.Failed }),
+			spread(list, "%.0f", func(r Result) float64 { return r.Excess }))
+		for seed, r := range list {
+			if o.Detail {
+				fmt.Fprintf(w, "  seed %d\t%v\n", seed+1, r.Reasons)
+			}
+			if r.Over {
+				fmt.Fprintf(w, "  seed %d\tmemory overcommitted\n", seed+1)
+			}
+		}
+	}
+	w.Flush()
+}
+
+// runAll runs every variant with every seed, several at once.
+func runAll(o Options, d Deployment, in Input, variants []Variant) [][]Result {
+	results := make([][]Result, len(variants))
+	var group sync.WaitGroup
+	slots := make(chan struct{}, max(o.Jobs, 1))
+	for i, v := range variants {
+		results[i] = make([]Result, o.Seeds)
+		for seed := range o.Seeds {
+			group.Add(1)
+			slots <- struct{}{}
+			go func() {
+				defer group.Done()
+				defer func() { <-slots }()
+				results[i][seed] = Run(d, in, v, uint64(seed+1))
+			}()
+		}
+	}
+	group.Wait()
+	return results
+}
+
+// spread formats the least, median and greatest of a measure.
+func spread(list []Result, format string, measure func(Result) float64) string {
+	values := make([]float64, len(list))
+	for i, r := range list {
+		values[i] = measure(r)
+	}
+	slices.Sort(values)
+	return fmt.Sprintf(format+" "+format+" "+format, values[0], values[len(values)/2], values[len(values)-1])
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 
+	"magnoliahoist/bench"
 	"magnoliahoist/dev"
 	"magnoliahoist/host"
 )
@@ -31,6 +32,7 @@
 	Host     hostCommand     `cmd:"" help:"Run an entry host."`
 	Dev      devCommand      `cmd:"" help:"Run everything in one process with example tables."`
 	Standin  standinCommand  `cmd:"" hidden:"" help:"Run a stand-in for a service of the platform or for an endpoint."`
+	Bench    benchCommand    `cmd:"" help:"Measure the policy and its baselines on a virtual clock."`
 	Check    checkCommand    `cmd:"" help:"Check tables and settings without a host."`
 	Apply    applyCommand    `cmd:"" help:"Replace tables and wait until they are in force."`
 	Get      getCommand      `cmd:"" help:"Print a table."`
@@ -49,7 +51,7 @@
 // Run carries out the command line and returns the exit status:
 // 0 done, 1 refused or failed, 2 wrong use.
 func Run(args []string, out, errs io.Writer) int {
-	return Hooks{Host: host.Run, Dev: dev.Run, Standin: dev.RunStandin}.Run(args, out, errs)
+	return Hooks{Host: host.Run, Dev: dev.Run, Standin: dev.RunStandin, Bench: bench.Report}.Run(args, out, errs)
 }
 
 // Run carries out the command line and returns the exit status:
--- a/cli/hooks.go
+++ b/cli/hooks.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"magnoliahoist/bench"
 	"magnoliahoist/config"
 )
 
@@ -13,4 +14,5 @@
 	Host    func(ctx context.Context, settings config.Host, out, errs io.Writer) error
 	Dev     func(ctx context.Context, out, errs io.Writer) error
 	Standin func(ctx context.Context, kind, listen, options string, out io.Writer) error
+	Bench   func(ctx context.Context, options bench.Options, out io.Writer) error
 }
--- a/state/request.go
+++ b/state/request.go
@@ -159,14 +159,18 @@
 
 func (s *State) enqueue(now time.Duration, r *request) {
 	r.phase = queued
-	s.pools[r.route.Pool].queue.Push(queue.Item{
+	item := queue.Item{
 		ID:       r.Request,
 		Account:  r.account.Name,
 		Weight:   r.account.Rate,
 		Tokens:   r.bound,
 		Priority: r.route.Priority,
 		Deadline: now + r.route.LongestWait(),
-	})
+	}
+	if s.settings.FirstCome {
+		item.Account, item.Weight, item.Priority = "", 1, 0
+	}
+	s.pools[r.route.Pool].queue.Push(item)
 	s.dispatch(now, s.pools[r.route.Pool])
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -20,6 +20,8 @@
 	Attempts int           // of a request at most, the first included
 	Holders  int           // of an account's allowance
 	View     endpoint.Settings
+	// FirstCome serves queues in order of arrival whatever the account; the benchmark compares with it.
+	FirstCome bool
 }
 
 // State is everything that a host knows. It is not safe for concurrent use.
