--- a/caller/stream_test.go
+++ b/caller/stream_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -14,6 +16,11 @@
 
 func event(id, data string) string { return "id: " + id + "\ndata: " + data }
 
+func newRelay(w http.ResponseWriter) *relay {
+	now := func() time.Duration { return 0 }
+	return &relay{w: w, begin: func() {}, now: now, pace: &pace{}, attempt: "a", next: firstOffset}
+}
+
 // Guards against a stream that is handed on although it is cut, crossed or lacks an event.
 func TestRelay(t *testing.T) {
 	tests := map[string]struct {
@@ -35,7 +42,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			w := httptest.NewRecorder()
-			r := &relay{w: w, attempt: "a", next: firstOffset}
+			r := newRelay(w)
 			err := r.copy(strings.NewReader(test.body))
 			c.Assert(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 			c.Assert(w.Body.String(), qt.Equals, test.out)
@@ -51,7 +58,7 @@
 	f.Add("id: a:1\ndata: {\"usage\":{\"completion_tokens\":3}}\n\n")
 	f.Fuzz(func(t *testing.T, body string) {
 		w := httptest.NewRecorder()
-		r := &relay{w: w, attempt: "a", next: firstOffset}
+		r := newRelay(w)
 		err := r.copy(strings.NewReader(body))
 		if r.done != (err == nil) {
 			t.Fatalf("done %v, error %v", r.done, err)
