endpoint, caller: an endpoint that lacks a model is not failing

Cause: an endpoint that answered 404 because a model was not loaded yet was ejected for all models; make run logged three ejections before its first call. Change: the outcome Absent is neutral for ejection and the retry budget; the caller sees endpoint_unavailable, or host_not_current when the host lost its freshness. A request whose body could not be built is retried or refused instead of waiting for the time limit. After: state, caller, endpoint tests pass.

--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -23,12 +23,11 @@
 	failed := answer{event: state.Finished{Request: t.id, Outcome: endpoint.Failed, Used: -1, Retry: true}}
 	out, err := t.build(send)
 	if err != nil {
-		failed.event.Retry = false
 		return failed
 	}
 	// The process may have been stopped since the reducer decided; the decision must still hold.
 	if s.backend.Now() >= send.Until {
-		failed.event.Outcome = endpoint.Refused
+		failed.event.Outcome = endpoint.Absent
 		return failed
 	}
 	s.sending(t, &send, id)
@@ -42,8 +41,8 @@
 		s.log.Warn("caller: unable to use answer of another attempt", "attempt", id, "endpoint", send.Endpoint.Name)
 		return failed
 	}
-	if refusedBy(response, send.Route) {
-		failed.event.Outcome = endpoint.Refused
+	if outcome, refused := refusedBy(response, send.Route); refused {
+		failed.event.Outcome = outcome
 		failed.event.Sent = false
 		return failed
 	}
@@ -65,12 +64,12 @@
 	return failed
 }
 
-// refusedBy reports whether an endpoint certainly did not run the request.
-func refusedBy(response *http.Response, r route.Route) bool {
-	if response.Header.Get(runHeader) == state.RunNo.String() {
-		return true
+// refusedBy reports whether an endpoint certainly did not run the request, and how the attempt ended.
+func refusedBy(response *http.Response, r route.Route) (endpoint.Outcome, bool) {
+	if r.Kind == route.Model && response.StatusCode == http.StatusNotFound {
+		return endpoint.Absent, true
 	}
-	return r.Kind == route.Model && response.StatusCode == http.StatusNotFound
+	return endpoint.Refused, response.Header.Get(runHeader) == state.RunNo.String()
 }
 
 func isStream(response *http.Response) bool {
--- a/endpoint/attempt.go
+++ b/endpoint/attempt.go
@@ -26,7 +26,7 @@
 	case Failed, Refused, Cut:
 		// An endpoint that refuses everything has little in flight and would attract calls, so refusals count.
 		v.fail(now, int32(i))
-	case Cancelled:
+	case Cancelled, Absent:
 		e.probing = false
 	}
 }
--- a/endpoint/outcome_string.go
+++ b/endpoint/outcome_string.go
@@ -13,11 +13,12 @@
 	_ = x[Refused-2]
 	_ = x[Cut-3]
 	_ = x[Cancelled-4]
+	_ = x[Absent-5]
 }
 
-const _Outcome_name = "donefailedrefusedcutcancelled"
+const _Outcome_name = "donefailedrefusedcutcancelledabsent"
 
-var _Outcome_index = [...]uint8{0, 4, 10, 17, 20, 29}
+var _Outcome_index = [...]uint8{0, 4, 10, 17, 20, 29, 35}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/placement/kind.go
+++ b/placement/kind.go
@@ -1,6 +1,6 @@
 package placement
 
-//go:generate stringer -type=Kind,Result -linecomment -output=kind_string.go
+//go:generate go tool stringer -type=Kind,Result -linecomment -output=kind_string.go
 
 // Kind is what an order asks for.
 type Kind int
--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -79,11 +79,23 @@
 	}
 	if !s.retry(now, p, r, e) {
 		s.giveBack(now, r, s.unused(r, e))
-		s.refuse(r, Failed, 0)
+		s.refuse(r, s.failure(now, e.Outcome), 0)
 	}
 	s.dispatch(now, p)
 }
 
+// failure is the reason that the caller sees when a request is not tried again.
+func (s *State) failure(now time.Duration, outcome endpoint.Outcome) Reason {
+	switch {
+	case !s.replica.Fresh(now):
+		return Stale
+	case outcome == endpoint.Absent:
+		return NoEndpoint
+	default:
+		return Failed
+	}
+}
+
 // retry sends a request again when its route and the budget allow it.
 func (s *State) retry(now time.Duration, p *poolState, r *request, e Finished) bool {
 	if r.sent && !r.route.Repeatable() {
@@ -92,7 +104,7 @@
 	if r.attempts >= s.settings.Attempts || !s.replica.Fresh(now) {
 		return false
 	}
-	if e.Outcome != endpoint.Refused && !p.view.AllowRetry(now) {
+	if e.Outcome != endpoint.Refused && e.Outcome != endpoint.Absent && !p.view.AllowRetry(now) {
 		return false
 	}
 	index, available := p.view.Pick(now, s.want(p, r))
