caller: say "unknown" when an earlier attempt of a refused request was sent

Cause: a request that the host ended (key withdrawn, timeout, freshness lost) was answered from the last attempt alone. Ruled out: the reducer, whose own refusals count all attempts.

Change: the task remembers that any attempt may have reached an endpoint.

--- a/caller/serve.go
+++ b/caller/serve.go
@@ -18,6 +18,7 @@
 	digest call.Digest // of what an at-most-once call asks for
 	build  func(send state.Send) (outgoing, error)
 	once   *onceCall
+	sent   bool // an attempt may have reached an endpoint
 }
 
 // answer is what came back for an attempt.
@@ -39,8 +40,8 @@
 		select {
 		case <-ctx.Done():
 			s.backend.Apply(state.Left{Request: t.id})
-			s.endOnce(&t, state.RunNo)
-			refuseCut(ctx, w)
+			s.endOnce(&t, runOf(t.sent))
+			refuseCut(ctx, w, runOf(t.sent))
 			return
 		case effect := <-inbox:
 			if s.step(ctx, w, &t, effect) {
@@ -57,13 +58,14 @@
 		return s.beginOnce(ctx, w, t, e)
 	case state.Send:
 		done := s.attempt(ctx, w, t, e)
+		t.sent = t.sent || done.event.Sent
 		s.backend.Apply(done.event)
 		if done.started {
 			return true
 		}
 		if done.event.Outcome == endpoint.Cancelled {
-			s.endOnce(t, runOf(done.event.Sent))
-			refuseCutRun(ctx, w, runOf(done.event.Sent))
+			s.endOnce(t, runOf(t.sent))
+			refuseCut(ctx, w, runOf(t.sent))
 			return true
 		}
 		return false
@@ -92,10 +94,8 @@
 // CauseOf returns the cause with which the host cancels a request.
 func CauseOf(reason state.Reason) error { return reasonError(reason) }
 
-func refuseCut(ctx context.Context, w http.ResponseWriter) { refuseCutRun(ctx, w, state.RunNo) }
-
-// refuseCutRun answers a request that the host ended; a caller that has gone gets nothing.
-func refuseCutRun(ctx context.Context, w http.ResponseWriter, run state.Run) {
+// refuseCut answers a request that the host ended; a caller that has gone gets nothing.
+func refuseCut(ctx context.Context, w http.ResponseWriter, run state.Run) {
 	if reason, cut := context.Cause(ctx).(reasonError); cut {
 		refusalFor(state.Reason(reason), run, 0).write(w)
 	}
--- /dev/null
+++ b/system/once_test.go
@@ -0,0 +1,312 @@
+package system_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/document"
+	"magnoliahoist/fakeservice"
+	"magnoliahoist/fault"
+	"magnoliahoist/pool"
+	"magnoliahoist/route"
+)
+
+// counts returns the executions at the services by idempotency key, or by path for calls without one.
+func (f *fleet) counts() map[string]int {
+	f.t.Helper()
+	counts := map[string]int{}
+	for _, s := range f.services {
+		var calls []fakeservice.Call
+		get(f.t, s.address(), "/debug/calls", &calls)
+		for _, call := range calls {
+			name := call.Key
+			if name == "" {
+				name = call.Path
+			}
+			counts[name] += call.Count
+		}
+	}
+	return counts
+}
+
+// history is what the callers of one idempotency key were told.
+type history struct {
+	key     string
+	answers []answer
+}
+
+func (h history) succeeded() bool {
+	for _, a := range h.answers {
+		if a.status == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+func (h history) onlyRefused() bool {
+	for _, a := range h.answers {
+		if a.run != "no" {
+			return false
+		}
+	}
+	return true
+}
+
+// check compares what callers were told with what the services did.
+func (h history) check(c *qt.C, executions int) {
+	comment := qt.Commentf("%s: %+v", h.key, h.answers)
+	c.Check(executions <= 1, qt.IsTrue, comment)
+	if h.succeeded() {
+		c.Check(executions, qt.Equals, 1, comment)
+	}
+	if h.onlyRefused() {
+		c.Check(executions, qt.Equals, 0, comment)
+	}
+}
+
+// Guards against a stamp that runs twice, is answered without having run, or runs after a refusal that
+// said "not run", while the table service and the services lose replies, writes take effect late, the
+// table service goes down and a host freezes, and callers repeat over other hosts.
+func TestProveStampsUnderFaults(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 3, engine: quick, fenced: []bool{true}})
+	const seed, workers, each, tries = 11, 16, 4, 3
+	t.Logf("seed %d", seed)
+	late := document.Duration(700 * time.Millisecond)
+	disturbances := []func(){
+		func() { setFaults(t, fault.Faults{LoseReply: 3}, f.table) },
+		func() { setFaults(t, fault.Faults{LateWrite: late}, f.table) },
+		func() { setFaults(t, fault.Faults{LateWrite: late, Slow: late / 7}, f.table) },
+		func() { setFaults(t, fault.Faults{LoseReply: 2}, f.services...) },
+		func() { setFaults(t, fault.Faults{Refuse: true}, f.services[0]) },
+		func() { setFaults(t, fault.Faults{Down: true}, f.table) },
+		func() { setFaults(t, fault.Faults{Slow: late}, f.services...); f.hosts[2].freeze() },
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; i < 200; i++ {
+			disturbances[i%len(disturbances)]()
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Second):
+			}
+			f.hosts[2].thaw()
+			setFaults(t, fault.Faults{}, append(f.services, f.table)...)
+		}
+	}()
+	var mu sync.Mutex
+	var all []history
+	together(workers, func(worker int) {
+		random := rand.New(rand.NewSource(seed + int64(worker)))
+		for i := range each {
+			h := history{key: fmt.Sprintf("stamp-%d-%d", worker, i)}
+			for try := 0; try < tries && !h.succeeded(); try++ {
+				h.answers = append(h.answers, f.stamp(random.Intn(len(f.hosts)), h.key, `{"result": "passed"}`))
+				time.Sleep(time.Duration(random.Intn(200)) * time.Millisecond)
+			}
+			mu.Lock()
+			all = append(all, h)
+			mu.Unlock()
+		}
+	})
+	close(stop)
+	<-stopped
+	f.hosts[2].thaw()
+	setFaults(t, fault.Faults{}, append(f.services, f.table)...)
+	time.Sleep(2 * late.Std())
+	counts, done := f.counts(), 0
+	for _, h := range all {
+		h.check(c, counts[h.key])
+		done += counts[h.key]
+	}
+	c.Assert(done > len(all)/4, qt.IsTrue, qt.Commentf("only %d of %d stamps ran", done, len(all)))
+}
+
+// Guards against a key that two hosts send at once, and against a caller that repeats and gets another
+// answer than the first one.
+func TestProveSameKeyAtOnce(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 3, engine: quick, fenced: []bool{true}})
+	setFaults(t, fault.Faults{Slow: document.Duration(300 * time.Millisecond)}, f.services...)
+	for round := range 3 {
+		h := history{key: fmt.Sprintf("same-%d", round), answers: make([]answer, 9)}
+		together(len(h.answers), func(i int) { h.answers[i] = f.stamp(i%3, h.key, `{"ladder": 1}`) })
+		for _, a := range h.answers {
+			c.Assert(a.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", a))
+			c.Assert(a.body, qt.Equals, h.answers[0].body)
+		}
+		h.check(c, f.executions(h.key))
+		other := f.stamp(0, h.key, `{"ladder": 2}`)
+		c.Assert(other.status, qt.Equals, http.StatusUnprocessableEntity)
+		c.Assert(other.run, qt.Equals, "no")
+		c.Assert(f.executions(h.key), qt.Equals, 1)
+	}
+}
+
+// Guards against a stamp whose host is killed after the intent and that another host sends again, and
+// against a host that sends what it had decided before it was frozen.
+func TestProveStampHostKilledOrFrozen(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 4, engine: quick, fenced: []bool{true}})
+	setFaults(t, fault.Faults{Slow: document.Duration(time.Second)}, f.services...)
+	histories := make([]history, 12)
+	running := make(chan struct{})
+	go func() {
+		defer close(running)
+		together(len(histories), func(i int) {
+			h := &histories[i]
+			h.key = fmt.Sprintf("host-%d", i)
+			time.Sleep(time.Duration(i/2) * 100 * time.Millisecond)
+			h.answers = append(h.answers, f.stamp(2+i%2, h.key, "{}"))
+		})
+	}()
+	time.Sleep(550 * time.Millisecond)
+	f.hosts[2].kill()
+	f.hosts[3].freeze()
+	repeated := make([]answer, len(histories))
+	together(len(histories), func(i int) { repeated[i] = f.stamp(i%2, fmt.Sprintf("host-%d", i), "{}") })
+	time.Sleep(time.Second)
+	f.hosts[3].thaw()
+	<-running
+	together(len(histories), func(i int) {
+		h := &histories[i]
+		h.answers = append(h.answers, repeated[i], f.stamp(i%2, h.key, "{}"))
+	})
+	for _, h := range histories {
+		h.check(c, f.executions(h.key))
+	}
+}
+
+// Guards against a call that the host or its transport sends a second time after a reply was lost:
+// plain calls and stamps, with and without a body, over connections that were used before.
+func TestProveLostReplySentOnce(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 1, engine: quick, fenced: []bool{true}})
+	post := func(path, account, key, body string) answer {
+		header := map[string]string{}
+		if key != "" {
+			header["Idempotency-Key"] = key
+		}
+		return f.ask(0, http.MethodPost, path, f.keys[account], body, header)
+	}
+	cases := map[string]struct{ path, account, key, body string }{
+		"plain":                 {"/bookings/a", "docks", "", "{}"},
+		"plain, no body":        {"/bookings/b", "docks", "", ""},
+		"plain, key, no body":   {"/bookings/c", "docks", "booking-c", ""},
+		"plain, key, body":      {"/bookings/d", "docks", "booking-d", "{}"},
+		"stamp":                 {"/stamps/e", "yards", "stamp-e", "{}"},
+		"stamp, no body":        {"/stamps/f", "yards", "stamp-f", ""},
+		"stamp, lower case key": {"/stamps/g", "yards", "stamp-g", ""},
+	}
+	for name, test := range cases {
+		c.Run(name, func(c *qt.C) {
+			for i := range 4 { // opens connections to both services
+				warm := post(fmt.Sprintf("%s-warm-%d", test.path, i), test.account, warmKey(test.key, i), test.body)
+				c.Assert(warm.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", warm))
+			}
+			setFaults(t, fault.Faults{LoseReply: 8}, f.services...)
+			lost := post(test.path, test.account, test.key, test.body)
+			c.Check(lost.run, qt.Equals, "unknown", qt.Commentf("%+v", lost))
+			setFaults(t, fault.Faults{}, f.services...)
+			name := test.key
+			if name == "" {
+				name = test.path
+			}
+			c.Check(f.counts()[name], qt.Equals, 1)
+			if test.path[:8] == "/stamps/" {
+				c.Check(post(test.path, test.account, test.key, test.body).run, qt.Equals, "unknown")
+				c.Check(f.counts()[name], qt.Equals, 1)
+			}
+		})
+	}
+	missing := post("/stamps/h", "yards", "", "{}")
+	c.Assert(missing.status, qt.Equals, http.StatusBadRequest)
+	c.Assert(missing.run, qt.Equals, "no")
+	c.Assert(f.counts()["/stamps/h"], qt.Equals, 0)
+}
+
+func warmKey(key string, i int) string {
+	if key == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s-warm-%d", key, i)
+}
+
+// deafListener returns an address that takes no connection: its backlog is full, so that a dial hangs.
+func deafListener(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 4 {
+		if connection, err := net.DialTimeout("tcp", address, 100*time.Millisecond); err == nil {
+			t.Cleanup(func() { connection.Close() })
+		}
+	}
+	return address
+}
+
+// Guards against a refusal that says "not run" after a first attempt ran and its answer was lost, when
+// the key is withdrawn while the next attempt has not left yet.
+func TestProveNotRunAfterRetry(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 1, engine: quick, fenced: []bool{true}, edit: func(_ *route.Table, pools *pool.Table) {
+		pools.Pools[1].Endpoints[1].Address = deafListener(t)
+	}})
+	for round := range 3 {
+		issued := f.issue("yards")
+		setFaults(t, fault.Faults{LoseReply: 100}, f.services[0])
+		answers := make([]answer, 12)
+		asked := make(chan struct{})
+		go func() {
+			defer close(asked)
+			together(len(answers), func(i int) {
+				answers[i] = f.ask(0, http.MethodGet, fmt.Sprintf("/tags/%d-%d", round, i), issued.Key, "", nil)
+			})
+		}()
+		time.Sleep(500 * time.Millisecond)
+		_, err := f.operators[0].WithdrawKey(context.Background(), issued.ID)
+		c.Assert(err, qt.IsNil)
+		<-asked
+		var headers []http.Header
+		get(t, f.services[0].address(), "/debug/headers", &headers)
+		for _, a := range answers {
+			for _, header := range headers {
+				if strings.HasPrefix(header.Get("X-Request-Id"), a.header.Get("X-Request-Id")+"-") {
+					c.Check(a.run, qt.Not(qt.Equals), "no", qt.Commentf("%+v", a))
+				}
+			}
+		}
+	}
+}
