system: test placement with processes: empty engines, takeovers, leaving endpoints

The lease holder is killed or frozen while it replaces every model and orders are late, doubled, lost or answered without a reply; the engines' peak memory stays within their size.

--- a/system/fleet_test.go
+++ b/system/fleet_test.go
@@ -47,6 +47,7 @@
 	hosts  int
 	engine dev.Options
 	fenced []bool                                            // by engine; the number of engines
+	empty  bool                                              // the engines hold nothing at the start
 	table  func(host int, address string) string             // address at which a host finds the table service
 	edit   func(routes *route.Table, pools *pool.Table)      // changes the tables before they are applied
 	host   func(number int, settings hostSettings)           // changes a host's settings
@@ -75,6 +76,9 @@
 	for i, fenced := range l.fenced {
 		o := l.engine
 		o.Fenced, o.Memory, o.Resident = fenced, engineMemory, residents()
+		if l.empty {
+			o.Resident = nil
+		}
 		o.Instance = fmt.Sprintf("engine-%d", i)
 		f.engines = append(f.engines, standin(t, o.Instance, "engine", o))
 	}
@@ -239,7 +243,11 @@
 }
 
 func (f *fleet) chat(host int, key, prompt string, tokens int) answer {
-	return f.ask(host, http.MethodPost, "/v1/chat/completions", key, chatBody(prompt, tokens, false), nil)
+	return f.chatWith(host, key, "history", prompt, tokens)
+}
+
+func (f *fleet) chatWith(host int, key, model, prompt string, tokens int) answer {
+	return f.ask(host, http.MethodPost, "/v1/chat/completions", key, chatBodyFor(model, prompt, tokens, false), nil)
 }
 
 func (f *fleet) stamp(host int, id, body string) answer {
@@ -247,8 +255,12 @@
 }
 
 func chatBody(prompt string, tokens int, stream bool) string {
+	return chatBodyFor("history", prompt, tokens, stream)
+}
+
+func chatBodyFor(model, prompt string, tokens int, stream bool) string {
 	data, _ := json.Marshal(map[string]any{
-		"model": "history", "max_tokens": tokens, "stream": stream,
+		"model": model, "max_tokens": tokens, "stream": stream,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	})
 	return string(data)
--- /dev/null
+++ b/system/placement_test.go
@@ -0,0 +1,250 @@
+package system_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/document"
+	"magnoliahoist/fakeengine"
+	"magnoliahoist/fault"
+	"magnoliahoist/operator"
+	"magnoliahoist/pool"
+	"magnoliahoist/replica"
+	"magnoliahoist/route"
+	"magnoliahoist/table"
+)
+
+// twoModels adds a second model with an adapter and its route, so that a new version of both does not
+// fit beside the old ones.
+func twoModels(replicas int) func(*route.Table, *pool.Table) {
+	return func(routes *route.Table, pools *pool.Table) {
+		models := &pools.Pools[0].Models
+		(*models)[0].Replicas = replicas
+		*models = append(*models, pool.Model{
+			Name: "script-8b", Version: "1", Memory: modelMemory, Replicas: replicas,
+			Adapters: []pool.Adapter{{Name: "casting", Version: "1", Memory: 1 << 28}},
+		})
+		added := routes.Routes[0]
+		added.Name, added.Model, added.Adapter = "scripts", "script-8b", "casting"
+		routes.Routes = append(routes.Routes, added)
+	}
+}
+
+// serves reports whether a host answers for both models.
+func (f *fleet) serves(host int) bool {
+	for _, model := range []string{"history", "scripts"} {
+		if f.chatWith(host, f.keys["yards"], model, "placed", 2).status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// lease returns the number of the pool's lease and the index of its holder among the hosts.
+func (f *fleet) lease(pool string) (holder int, number int64) {
+	f.t.Helper()
+	key := replica.KeyForLease(pool)
+	rows, err := table.New(f.table.address(), http.DefaultClient).Read(context.Background(), key, 0)
+	if err != nil || len(rows.Rows) == 0 {
+		return -1, 0
+	}
+	var held replica.Lease
+	if err := json.Unmarshal(rows.Rows[0].Value, &held); err != nil {
+		f.t.Fatal(err)
+	}
+	for i, h := range f.hosts {
+		if h.word("host") == held.Holder {
+			return i, held.Number
+		}
+	}
+	return -1, held.Number
+}
+
+// upgrade changes the version of every model of the first pool.
+func (f *fleet) upgrade(host int, version string) {
+	f.t.Helper()
+	pools, revision, err := f.operators[host].Pools(context.Background())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for n := range pools.Pools[0].Models {
+		pools.Pools[0].Models[n].Version = version
+	}
+	if _, err := f.operators[host].Put(context.Background(), operator.Pools, "upgrade-"+version, revision, encode(f.t, pools)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// holds reports whether an engine holds a model in a version, ready to serve.
+func (f *fleet) holds(engine int, model, version string) bool {
+	var load fakeengine.Load
+	get(f.t, f.engines[engine].address(), "/v2/load", &load)
+	for _, r := range load.Resident {
+		if r.Kind == fakeengine.Model && r.Name == model && r.Version == version && r.State == fakeengine.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// placed reports whether every model is held in a version by some engine.
+func (f *fleet) placed(version string, models ...string) bool {
+	for _, model := range models {
+		found := false
+		for engine := range f.engines {
+			found = found || f.holds(engine, model, version)
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
+// checkMemory fails when an engine was ever asked for more memory than it has.
+func (f *fleet) checkMemory() {
+	f.t.Helper()
+	for n, e := range f.engines {
+		var memory fakeengine.Memory
+		get(f.t, e.address(), "/debug/memory", &memory)
+		qt.Assert(f.t, memory.Violations, qt.Equals, int64(0), qt.Commentf("engine %d: %+v", n, memory))
+		qt.Assert(f.t, memory.Peak <= memory.Size, qt.IsTrue, qt.Commentf("engine %d: %+v", n, memory))
+	}
+}
+
+// Guards against models that are not loaded onto empty engines, or that only the lease holder can reach.
+func TestModelsAreLoadedOntoEmptyEngines(t *testing.T) {
+	f := newFleet(t, layout{hosts: 3, engine: quick, fenced: []bool{true, false}, empty: true, edit: twoModels(2)})
+	for host := range f.hosts {
+		f.eventually("host serves both models", func() bool { return f.serves(host) })
+	}
+	f.checkMemory()
+	text := f.metrics(0) + f.metrics(1) + f.metrics(2)
+	qt.Assert(t, text, qt.Contains, `magnoliahoist_moves_total{pool="inspection"}`)
+}
+
+// metrics returns the metrics of a host.
+func (f *fleet) metrics(host int) string {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+f.hosts[host].word("operators")+"/metrics", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+testCredential)
+	response, err := callers.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return body(f.t, response)
+}
+
+// Guards against memory that a takeover overcommits, and against one that does not happen, when the
+// lease holder is killed or frozen while orders are lost, late and doubled.
+func TestProveTakeoverOfPlacement(t *testing.T) {
+	faults := map[string]fault.Faults{
+		"late":       {LateOrder: document.Duration(1500 * time.Millisecond)},
+		"doubled":    {DoubleOrder: 20, LateOrder: document.Duration(time.Second)},
+		"lost":       {LoseOrder: 3},
+		"reply lost": {LoseReply: 4},
+	}
+	for name, set := range faults {
+		for _, frozen := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, frozen=%t", name, frozen), func(t *testing.T) {
+				t.Parallel()
+				takeover(t, set, frozen)
+			})
+		}
+	}
+}
+
+// takeover ends or stops the lease holder just after it has begun to replace every model.
+func takeover(t *testing.T, set fault.Faults, frozen bool) {
+	f := newFleet(t, layout{hosts: 3, engine: quick, fenced: []bool{true, false, true}, empty: true, edit: twoModels(2)})
+	f.eventually("models are placed", func() bool { return f.placed("1", "inspect-7b", "script-8b") && f.serves(0) })
+	holder, number := f.lease("inspection")
+	for _, e := range f.engines {
+		setFault(t, e.address(), set)
+	}
+	f.upgrade(holder, "2")
+	time.Sleep(1200 * time.Millisecond) // at least one round of the holder
+	if frozen {
+		f.hosts[holder].freeze()
+	} else {
+		f.hosts[holder].kill()
+	}
+	f.eventually("another host takes over", func() bool {
+		_, next := f.lease("inspection")
+		return next > number
+	})
+	f.eventually("the new versions are placed", func() bool { return f.placed("2", "inspect-7b", "script-8b") })
+	if frozen {
+		f.hosts[holder].thaw()
+		time.Sleep(3 * time.Second) // the former holder goes on with what it had begun
+		f.eventually("the former holder serves", func() bool { return f.serves(holder) })
+	}
+	for host := range f.hosts {
+		if frozen || host != holder {
+			f.eventually("hosts serve both models", func() bool { return f.serves(host) })
+		}
+	}
+	f.checkMemory()
+}
+
+// Guards against new work for an endpoint that leaves by its own report, and against a model that
+// becomes unreachable when its only endpoint leaves.
+func TestProveLeavingEndpoint(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 2, engine: quick, fenced: []bool{true, true, true}, empty: true, edit: twoModels(1)})
+	f.eventually("hosts serve", func() bool { return f.serves(0) && f.serves(1) })
+	leaving := 0
+	for !f.holds(leaving, "inspect-7b", "1") {
+		leaving++
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.engines[leaving].address()+"/v2/leaving", strings.NewReader(`{"leaving": true}`))
+	c.Assert(err, qt.IsNil)
+	response, err := callers.Do(request)
+	c.Assert(err, qt.IsNil)
+	body(t, response)
+	began := time.Now()
+	before := -1
+	for time.Since(began) < 8*time.Second {
+		for host := range f.hosts {
+			answer := f.chat(host, f.keys["yards"], "leaving", 2)
+			c.Assert(answer.status, qt.Equals, http.StatusOK, qt.Commentf("after %s: %+v", time.Since(began), answer))
+		}
+		// The report is read once a second and passed on once a second; the rule allows 3 s.
+		if before < 0 && time.Since(began) > 3*time.Second {
+			before = f.requests(leaving)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.Assert(f.requests(leaving), qt.Equals, before)
+	c.Assert(f.serves(0) && f.serves(1), qt.IsTrue)
+	f.checkMemory()
+}
+
+// requests returns how many calls an engine got.
+func (f *fleet) requests(engine int) int {
+	var all []fakeengine.Record
+	get(f.t, f.engines[engine].address(), "/debug/requests", &all)
+	return len(all)
+}
+
+// body reads and closes the body of an answer, which must be a success.
+func body(t *testing.T, response *http.Response) string {
+	t.Helper()
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("%s %s: %v", response.Status, data, err)
+	}
+	return string(data)
+}
