state: return what is left of loans that have ended

Cause: the ledger gave unspent loans back only when swept, and nothing swept it, so their tokens were lost to the account.

--- a/state/allowance.go
+++ b/state/allowance.go
@@ -16,6 +16,9 @@
 	maxBorrowPause = time.Second
 )
 
+// sweepPeriod is the time between two returns of loans that have ended; tokens are missing at the lender until then.
+const sweepPeriod = 100 * time.Millisecond
+
 // roundingSlack keeps a sum of parts that is 1 up to rounding from losing a token.
 const roundingSlack = 1e-9
 
@@ -136,6 +139,21 @@
 	}
 }
 
+// sweepLoans returns what was left unspent of loans that have ended.
+func (s *State) sweepLoans(now time.Duration) {
+	if now-s.swept < sweepPeriod {
+		return
+	}
+	s.swept = now
+	for _, owner := range s.replica.View().Accounts() {
+		if a := s.accounts[owner.Name]; a != nil {
+			for _, repayment := range a.ledger.Sweep(now) {
+				s.repay(owner.Name, repayment)
+			}
+		}
+	}
+}
+
 func (s *State) repay(name string, repayment limit.Repayment) {
 	member, known := s.replica.View().MemberByID(repayment.Lender)
 	if !known {
--- a/state/state.go
+++ b/state/state.go
@@ -37,6 +37,7 @@
 	sync     syncState
 	takeover takeoverState
 	loans    uint64
+	swept    time.Duration // last return of ended loans
 	effects  []Effect
 }
 
--- a/state/sync.go
+++ b/state/sync.go
@@ -23,6 +23,7 @@
 	s.exchange(now)
 	s.watchMembers(now)
 	s.followHoldings(now)
+	s.sweepLoans(now)
 	if !s.replica.Fresh(now) {
 		s.stopAll(now, Stale)
 		return
