--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -49,7 +49,7 @@
 	if response.StatusCode >= http.StatusInternalServerError && send.Route.Repeatable() {
 		return failed
 	}
-	if isStream(response) {
+	if isStream(response) && send.Route.Kind == route.Model {
 		return s.stream(ctx, w, t, send, id, out, response)
 	}
 	return s.whole(ctx, w, t, send, response, failed)
