limit, state: return the lender's cap as soon as a loan is spent

Cause: a lender whose bucket was full did not refill for 2.02 s after each loan, although the borrower spends most loans at once; an account that bursts from a full bucket lost about 2 s of its rate at every lender. Change: the borrower sends a repayment of 0 tokens for a loan that it has spent whole, and the lender ends the loan. Lost, late and doubled messages stay harmless; the property test of the allowance sends them too.

--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -22,6 +22,7 @@
 	lent     map[string]*lending
 	ending   []*lending // loans made that have not ended, oldest first
 	ended    []*lending // loans made that have ended and may be repaid, oldest first
+	spent    []Repayment
 }
 
 // NewLedger returns a ledger with no share.
@@ -44,6 +45,9 @@
 	l.level = min(l.level, max(l.cap, 0))
 	if l.cap < 0 {
 		for _, loan := range l.ending {
+			if loan.seq != 0 {
+				continue
+			}
 			loan.deficit = max(loan.deficit, -l.cap)
 		}
 	}
@@ -68,6 +72,9 @@
 		}
 		loan.left -= spent
 		tokens -= spent
+		if loan.left == 0 && loan.returned == 0 {
+			l.spent = append(l.spent, loan.giveBack(0))
+		}
 		r = r.withPart(part{loan, spent})
 	}
 	if tokens > 0 {
@@ -78,6 +85,14 @@
 	return r, true
 }
 
+// Spent returns, once, messages of 0 tokens for the loans that have been spent whole. They let the
+// lender's cap return before the loan's time is over. The result is valid until the next Take.
+func (l *Ledger) Spent() []Repayment {
+	out := l.spent
+	l.spent = l.spent[:0]
+	return out
+}
+
 // Return gives back tokens that a request did not use: first to the loans they
 // came from, by the repayments that the caller sends, then to the bucket. The
 // bucket's credit is the smaller of the rest and the least distance from the cap
@@ -142,8 +157,9 @@
 		loan := l.ending[0]
 		l.ending = l.ending[1:]
 		l.fill(loan.end)
-		l.cap += float64(loan.tokens - loan.repaid)
-		loan.seq = l.room.record(l.distance())
+		if loan.seq == 0 {
+			l.finish(loan)
+		}
 		if loan.repaid == loan.tokens {
 			delete(l.lent, loan.id) // nothing is left to repay
 			continue
@@ -157,6 +173,12 @@
 	}
 }
 
+// finish ends a loan: what was not repaid has left the cap only as tokens that were used.
+func (l *Ledger) finish(loan *lending) {
+	l.cap += float64(loan.tokens - loan.repaid)
+	loan.seq = l.room.record(l.distance())
+}
+
 // fill adds the tokens of the time since the last call, up to the cap.
 func (l *Ledger) fill(now time.Duration) {
 	if now <= l.now {
--- a/limit/ledger_test.go
+++ b/limit/ledger_test.go
@@ -120,6 +120,25 @@
 	qt.Assert(t, l.Missing(2120*time.Millisecond, 100), qt.Equals, int64(0))
 }
 
+// Guards against a lender that does not refill although the loan is spent, and against an end counted twice.
+func TestSpentLoanReturnsTheCap(t *testing.T) {
+	lender, borrower := full(1000, 100), NewLedger(0)
+	lender.Lend(0, "a", "b", 100)
+	borrower.Borrow(0, Loan{ID: "a", Lender: "l", Tokens: 100})
+	_, ok := borrower.Take(0, 60)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, borrower.Spent(), qt.HasLen, 0)
+	_, ok = borrower.Take(0, 40)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, borrower.Spent(), qt.DeepEquals, []Repayment{{"a", "l", 0}})
+	qt.Assert(t, borrower.Spent(), qt.HasLen, 0)
+	for range 2 {
+		lender.Repay(0, "a", 0)
+	}
+	qt.Assert(t, lender.Missing(50*time.Millisecond, 100), qt.Equals, int64(50))
+	qt.Assert(t, lender.Missing(lent+time.Second, 300), qt.Equals, int64(200))
+}
+
 // Guards against a borrower that spends the loan that ends last first.
 func TestTakeSpendsTheLoanThatEndsFirst(t *testing.T) {
 	l := NewLedger(0)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -27,7 +27,7 @@
 
 // Repayment is a message to the lender of a loan. Unused is the total of tokens
 // given back so far under ID, so a later message includes the earlier ones and
-// messages may be doubled, lost or reordered.
+// messages may be doubled, lost or reordered. 0 says that the loan is spent.
 type Repayment struct {
 	ID     string
 	Lender string
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -36,7 +36,7 @@
 	repaid   int64         // total given back so far
 	deficit  float64       // how far the cap fell below 0 while the loan ran; not credited
 	end      time.Duration // from then on it is not spendable
-	seq      uint64        // event of its end; 0 before
+	seq      uint64        // event of its end, which may come before the time of end; 0 before
 }
 
 // Lend lends up to want tokens and returns the amount. The tokens leave the level
@@ -81,7 +81,8 @@
 
 // Repay credits tokens that the borrower of a loan did not use, as though the loan
 // had been smaller from the start. Unused is the total given back under the id, so
-// a repeated message changes nothing. Unknown loans, and those that ended more than
+// a repeated message changes nothing; 0 says that the borrower has spent all of it, which ends the
+// loan. Unknown loans, and those that ended more than
 // 10 minutes ago, are ignored.
 func (l *Ledger) Repay(now time.Duration, id string, unused int64) {
 	l.settle(now)
@@ -89,6 +90,9 @@
 	if loan == nil {
 		return
 	}
+	if unused == 0 && loan.seq == 0 {
+		l.finish(loan)
+	}
 	unused = min(unused, loan.tokens)
 	if unused <= loan.repaid {
 		return
--- a/limit/property_test.go
+++ b/limit/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -126,6 +127,7 @@
 				}
 				if r, ok := f.ledgers[i].Take(f.now, want); ok {
 					f.takes = append(f.takes, used{f.now, want, i, r, true})
+					f.repay(slices.Clone(f.ledgers[i].Spent()))
 				}
 			case 5:
 				if len(f.takes) == 0 {
--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -28,12 +28,16 @@
 			return
 		}
 		r := s.requests[item.ID]
-		receipt, taken := s.accounts[r.account.Name].ledger.Take(now, r.bound)
+		ledger := s.accounts[r.account.Name].ledger
+		receipt, taken := ledger.Take(now, r.bound)
 		if !taken {
 			s.refuse(r, RateLimited, 0)
 			continue
 		}
 		r.receipt = receipt
+		for _, spent := range ledger.Spent() {
+			s.repay(r.account.Name, spent)
+		}
 		s.send(now, p, r, picked)
 	}
 }
