--- a/host/new.go
+++ b/host/new.go
@@ -49,6 +49,8 @@
 		ring:     timeline.NewRing(settings.Ring),
 		waiting:  map[uint64]waiter{},
 		departed: departed{silent: map[string]bool{}},
+		meters:   map[string]*meter{},
+		managers: managers{byPool: map[string]*manager{}},
 	}
 	h.drain.began = make(chan struct{})
 	h.contact.Store(noContact)
--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -28,12 +28,16 @@
 			return
 		}
 		r := s.requests[item.ID]
-		receipt, taken := s.accounts[r.account.Name].ledger.Take(now, r.bound)
+		ledger := s.accounts[r.account.Name].ledger
+		receipt, taken := ledger.Take(now, r.bound)
 		if !taken {
 			s.refuse(r, RateLimited, 0)
 			continue
 		}
 		r.receipt = receipt
+		for _, spent := range ledger.Spent() {
+			s.repay(r.account.Name, spent)
+		}
 		s.send(now, p, r, picked)
 	}
 }
@@ -79,11 +83,23 @@
 	}
 	if !s.retry(now, p, r, e) {
 		s.giveBack(now, r, s.unused(r, e))
-		s.refuse(r, Failed, 0)
+		s.refuse(r, s.failure(now, e.Outcome), 0)
 	}
 	s.dispatch(now, p)
 }
 
+// failure is the reason that the caller sees when a request is not tried again.
+func (s *State) failure(now time.Duration, outcome endpoint.Outcome) Reason {
+	switch {
+	case !s.replica.Fresh(now):
+		return Stale
+	case outcome == endpoint.Absent:
+		return NoEndpoint
+	default:
+		return Failed
+	}
+}
+
 // retry sends a request again when its route and the budget allow it.
 func (s *State) retry(now time.Duration, p *poolState, r *request, e Finished) bool {
 	if r.sent && !r.route.Repeatable() {
@@ -92,7 +108,7 @@
 	if r.attempts >= s.settings.Attempts || !s.replica.Fresh(now) {
 		return false
 	}
-	if e.Outcome != endpoint.Refused && !p.view.AllowRetry(now) {
+	if e.Outcome != endpoint.Refused && e.Outcome != endpoint.Absent && !p.view.AllowRetry(now) {
 		return false
 	}
 	index, available := p.view.Pick(now, s.want(p, r))
@@ -105,7 +121,11 @@
 
 // settle ends a request whose answer, or the part of it that there is, was handed to the caller.
 func (s *State) settle(now time.Duration, r *request, e Finished) {
-	s.giveBack(now, r, s.unused(r, e))
+	unused := s.unused(r, e)
+	if r.route.Kind == route.Model {
+		s.pools[r.route.Pool].used[r.route.Model] += max(r.bound-unused, 0)
+	}
+	s.giveBack(now, r, unused)
 	delete(s.requests, r.Request)
 }
 
--- a/state/state.go
+++ b/state/state.go
@@ -20,6 +20,8 @@
 	Attempts int           // of a request at most, the first included
 	Holders  int           // of an account's allowance
 	View     endpoint.Settings
+	// FirstCome serves queues in order of arrival whatever the account; the benchmark compares with it.
+	FirstCome bool
 }
 
 // State is everything that a host knows. It is not safe for concurrent use.
@@ -27,6 +29,7 @@
 	settings Settings
 	replica  *replica.Replica
 	pools    map[string]*poolState
+	ordered  []*poolState // in the order in which they became known
 	accounts map[string]*accountState
 	requests map[uint64]*request
 	silent   map[string]time.Duration // members that do not answer, since when
@@ -35,6 +38,7 @@
 	sync     syncState
 	takeover takeoverState
 	loans    uint64
+	swept    time.Duration // last return of ended loans
 	effects  []Effect
 }
 
@@ -43,6 +47,9 @@
 	pool  pool.Pool
 	queue *queue.Queue
 	view  *endpoint.View
+
+	leaving map[string]bool  // endpoints that say so in their last report
+	used    map[string]int64 // tokens used since the start, by model
 }
 
 // accountState is what the host keeps of one client account.
--- a/state/sync.go
+++ b/state/sync.go
@@ -1,6 +1,9 @@
 package state
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"magnoliahoist/endpoint"
@@ -23,11 +26,12 @@
 	s.exchange(now)
 	s.watchMembers(now)
 	s.followHoldings(now)
+	s.sweepLoans(now)
 	if !s.replica.Fresh(now) {
 		s.stopAll(now, Stale)
 		return
 	}
-	for _, p := range s.pools {
+	for _, p := range s.ordered {
 		for _, item := range p.queue.Expire(now) {
 			s.expire(now, item.ID)
 		}
@@ -68,10 +72,17 @@
 	s.refuse(r, Overloaded, minBorrowPause)
 }
 
+// sortedRequests returns the requests by id, so that the same events give the same effects.
+func (s *State) sortedRequests() []*request {
+	list := slices.Collect(maps.Values(s.requests))
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.Request, b.Request) })
+	return list
+}
+
 // stopAll refuses every waiting request and cuts every running one.
 func (s *State) stopAll(now time.Duration, reason Reason) {
-	for id, r := range s.requests {
-		s.stop(now, id, r, reason)
+	for _, r := range s.sortedRequests() {
+		s.stop(now, r.Request, r, reason)
 	}
 }
 
@@ -103,14 +114,14 @@
 
 // recheck stops requests that the changed tables or keys no longer allow.
 func (s *State) recheck(now time.Duration) {
-	for id, r := range s.requests {
+	for _, r := range s.sortedRequests() {
 		found, known := s.routeOf(r.Arrive)
 		name, reason := s.accountOf(r.Arrive, found, known)
 		if reason == NoReason && (!known || !found.Allows(name)) {
 			reason = NotAllowed
 		}
 		if reason != NoReason {
-			s.stop(now, id, r, reason)
+			s.stop(now, r.Request, r, reason)
 		}
 	}
 }
@@ -120,8 +131,14 @@
 	for _, entry := range s.replica.View().Pools() {
 		p := s.pools[entry.Name]
 		if p == nil {
-			p = &poolState{queue: queue.New(), view: endpoint.New(s.settings.View)}
+			p = &poolState{
+				queue:   queue.New(),
+				view:    endpoint.New(s.settings.View),
+				leaving: map[string]bool{},
+				used:    map[string]int64{},
+			}
 			s.pools[entry.Name] = p
+			s.ordered = append(s.ordered, p)
 		}
 		p.pool = entry
 		p.view.SetEndpoints(now, endpointsOf(entry))
@@ -155,14 +172,15 @@
 
 func (s *State) listed(e Listed) {
 	s.leaving = e.Leaving
-	for _, p := range s.pools {
+	for _, p := range s.ordered {
 		s.setLeaving(p)
 	}
 }
 
+// setLeaving marks the endpoints that are leaving by the platform's list or by their own report.
 func (s *State) setLeaving(p *poolState) {
 	for _, e := range p.pool.Endpoints {
-		p.view.SetLeaving(e.Name, s.leaving[e.Address])
+		p.view.SetLeaving(e.Name, s.leaving[e.Address] || p.leaving[e.Name])
 	}
 }
 
@@ -174,13 +192,14 @@
 	for _, load := range e.Endpoints {
 		p.view.SetReport(now, load.Endpoint, load.Report)
 		p.view.SetHolding(load.Endpoint, load.Holding)
-		p.view.SetLeaving(load.Endpoint, load.Leaving)
+		p.leaving[load.Endpoint] = load.Leaving
 	}
+	s.setLeaving(p)
 	s.dispatch(now, p)
 }
 
 func (s *State) dispatchAll(now time.Duration) {
-	for _, p := range s.pools {
+	for _, p := range s.ordered {
 		if p.queue.Len() > 0 {
 			s.dispatch(now, p)
 		}
