--- a/host/manager.go
+++ b/host/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -122,7 +123,7 @@
 	m.mu.Lock()
 	m.placement = next
 	m.mu.Unlock()
-	m.host.record(timeline.Event{Kind: timeline.Taken, Change: m.number, Note: m.pool})
+	m.host.record(timeline.Event{Kind: timeline.Taken, Note: "lease of pool " + m.pool + ", number " + strconv.FormatInt(m.number, 10)})
 	m.host.log.Info("host: lease taken", "pool", m.pool, "number", m.number, "orders", len(records))
 	return true
 }
--- a/host/record.go
+++ b/host/record.go
@@ -55,11 +55,11 @@
 	h.record(timeline.Event{Kind: timeline.Accepted, Change: revision})
 }
 
-// recordCommit records a change that this host made durable; a row that gives this host a lease or a
-// part of an allowance is recorded as taken.
+// recordCommit records a change that this host made durable; a new division of an allowance is
+// recorded as taken. A lease is recorded as taken when the host begins to use it.
 func (h *Host) recordCommit(key string, revision int64) {
 	kind := timeline.Committed
-	if strings.HasPrefix(key, replica.KeyForLease("")) || strings.HasPrefix(key, replica.KeyForShare("")) {
+	if strings.HasPrefix(key, replica.KeyForShare("")) {
 		kind = timeline.Taken
 	}
 	h.record(timeline.Event{Kind: kind, Change: revision, Note: key})
