--- a/host/orders.go
+++ b/host/orders.go
@@ -168,5 +168,6 @@
 			note += " " + part
 		}
 	}
-	m.host.record(timeline.Event{Kind: kind, Order: o.ID, Endpoint: o.Endpoint, Note: note})
+	// Ids of orders are unique within a pool only.
+	m.host.record(timeline.Event{Kind: kind, Order: m.pool + "/" + o.ID, Endpoint: o.Endpoint, Note: note})
 }
