limit, state: ask each lender for all that is missing and give back the rest at once

Cause: a round asked every holder for an equal part, so it failed when one of them had too little although the others had enough, and the loans that it did bring lay idle for two seconds. Change: each lender is asked for the whole; when the round has ended, what was not spent goes back (Ledger.GiveUp). At the refusals that are left the levels of all five hosts together are below the cost of one call.

--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -129,6 +129,20 @@
 	return max(0, tokens-have)
 }
 
+// GiveUp gives back what is left unspent of all borrowed loans, so that it does not lie idle here while
+// another host needs it.
+func (l *Ledger) GiveUp(now time.Duration) []Repayment {
+	l.settle(now)
+	var out []Repayment
+	for _, loan := range l.borrowed {
+		if left := loan.left; left > 0 {
+			loan.left = 0
+			out = append(out, loan.giveBack(left))
+		}
+	}
+	return out
+}
+
 // Sweep drops loans that have ended. The repayments give back what was left
 // unspent of borrowed ones.
 func (l *Ledger) Sweep(now time.Duration) []Repayment {
--- a/limit/property_test.go
+++ b/limit/property_test.go
@@ -159,6 +159,9 @@
 				from, to := host(), host()
 				if rapid.Bool().Draw(t, "sweep") || f.parts[from] == 0 {
 					f.repay(f.ledgers[from].Sweep(f.now))
+					if rapid.Bool().Draw(t, "give up") {
+						f.repay(f.ledgers[from].GiveUp(f.now))
+					}
 					continue
 				}
 				parts := rapid.Int64Range(1, f.parts[from]).Draw(t, "parts")
--- a/state/allowance.go
+++ b/state/allowance.go
@@ -41,7 +41,8 @@
 	return false
 }
 
-// borrow asks the other holders of an account's allowance for equal parts of what is missing.
+// borrow asks every other holder of an account's allowance for all that is missing, because nobody knows
+// which of them has tokens; what is too much goes back at the end of the round.
 func (s *State) borrow(now time.Duration, r *request, a *accountState, missing int64) {
 	if a.borrow.pending > 0 || now < a.borrow.next {
 		return
@@ -50,7 +51,6 @@
 	if len(lenders) == 0 {
 		return
 	}
-	each := (missing + int64(len(lenders)) - 1) / int64(len(lenders))
 	a.borrow = borrowState{pending: len(lenders), missing: missing}
 	for _, lender := range lenders {
 		s.loans++
@@ -59,7 +59,7 @@
 			Loan:    s.settings.Host + "-" + strconv.FormatUint(s.loans, 36),
 			Lender:  lender.ID,
 			Address: lender.Address,
-			Tokens:  each,
+			Tokens:  missing,
 			Asked:   now,
 		})
 	}
@@ -101,6 +101,15 @@
 		a.borrow.next = now + s.borrowPause(e.Account, a.borrow.missing-a.borrow.got)
 	}
 	s.dispatchAll(now)
+	if a.borrow.pending == 0 {
+		s.repayAll(e.Account, a.ledger.GiveUp(now))
+	}
+}
+
+func (s *State) repayAll(name string, repayments []limit.Repayment) {
+	for _, repayment := range repayments {
+		s.repay(name, repayment)
+	}
 }
 
 // borrowPause is the time in which the fleet earns the tokens that are missing, within bounds.
