caller: refuse fields in another case, several prompts and requests without a path

Several prompts in one call, and prompt beside messages, passed with only a part of them counted. Found by TestProveNoPathToOrders: the target "*" got an answer without X-Run.

Change: fields that the host reads or writes must be in lower case, one prompt is allowed, and a target without a path is refused with the typed error.

--- a/caller/request.go
+++ b/caller/request.go
@@ -129,17 +129,56 @@
 	if err := json.Unmarshal(c.fields[fieldModel], &c.model); err != nil || c.model == "" {
 		return c, malformed("model must be the name of a route")
 	}
+	if refused := c.checkNames(); refused != nil {
+		return c, refused
+	}
 	if refused := c.readOptions(); refused != nil {
 		return c, refused
 	}
+	return c, c.readPrompt()
+}
+
+// fieldNames are the fields that the host reads or writes.
+var fieldNames = []string{fieldModel, fieldAdapter, fieldStream, fieldMaxTokens, fieldMaxCompletionTokens,
+	fieldPrompt, fieldMessages, fieldChoices, fieldBestOf}
+
+// checkNames refuses fields that an endpoint which ignores case would take for one that the host has
+// checked or written, so that a call got past its bound of tokens or its adapter.
+func (c *completion) checkNames() *refusal {
+	for field := range c.fields {
+		for _, name := range fieldNames {
+			if field != name && strings.EqualFold(field, name) {
+				return malformed("the field " + name + " must be written in lower case")
+			}
+		}
+	}
+	return nil
+}
+
+// readPrompt reads the one prompt. An endpoint answers each of several prompts with the full number of
+// tokens, and reads prompt or messages by the path, so that more than one would pass uncounted.
+func (c *completion) readPrompt() *refusal {
+	messages := c.fields[fieldMessages]
 	c.prompt = c.fields[fieldPrompt]
-	if messages := c.fields[fieldMessages]; len(messages) > 0 {
+	switch {
+	case len(messages) > 0 && len(c.prompt) > 0:
+		return malformed("prompt and messages must not both be given")
+	case len(messages) > 0:
 		c.prompt = messages
+		return nil
+	case len(c.prompt) == 0:
+		return malformed("prompt or messages is required")
 	}
-	if len(c.prompt) == 0 {
-		return c, malformed("prompt or messages is required")
+	var list []json.RawMessage
+	if json.Unmarshal(c.prompt, &list) != nil || len(list) < 2 {
+		return nil
 	}
-	return c, nil
+	for _, entry := range list {
+		if entry[0] == '"' || entry[0] == '[' {
+			return malformed("prompt must be a single prompt")
+		}
+	}
+	return nil
 }
 
 func (c *completion) readOptions() *refusal {
--- a/caller/server.go
+++ b/caller/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,5 +73,12 @@
 	mux.HandleFunc(pat.Post("/v1/completions"), s.complete)
 	mux.HandleFunc(pat.Post("/v1/chat/completions"), s.complete)
 	mux.HandleFunc(pat.New("/*"), s.service)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The router answers a target without a path, such as "*", in its own form.
+		if !strings.HasPrefix(r.URL.Path, "/") {
+			badRequest("malformed_path", "the request needs a path").write(w)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
