system: test edits under races, lost replies, late writes and cut-off hosts

Guards I12 and I13: racing edits have one winner and the others get 412 with the current version; an accepted edit is in force on all five hosts within the stated 10 s, also where the table service is out of reach or the host was frozen; a lost reply is settled by the edit's id; a write that takes effect late or a host that is replaced under its old address does not undo it. A second test takes the table service down while a host is killed, twice.

--- /dev/null
+++ b/system/edit_test.go
@@ -0,0 +1,218 @@
+package system_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/document"
+	"magnoliahoist/fault"
+	"magnoliahoist/operator"
+	"magnoliahoist/route"
+)
+
+// inForce is the time within which an accepted edit is in force everywhere (I12).
+const inForce = 10 * time.Second
+
+// failure returns what the host answered an operator.
+func failure(err error) operator.Failure {
+	if f, is := err.(*operator.Failure); is {
+		return *f
+	}
+	return operator.Failure{}
+}
+
+// edited returns the routes table with another number of tokens on the route history.
+func (f *fleet) edited(host int, tokens int64) (route.Table, int64) {
+	f.t.Helper()
+	routes, revision, err := f.operators[host].Routes(context.Background())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return withTokens(routes, tokens), revision
+}
+
+// withTokens returns the table with another number of tokens on the route history.
+func withTokens(routes route.Table, tokens int64) route.Table {
+	routes.Routes = slices.Clone(routes.Routes)
+	for i := range routes.Routes {
+		if routes.Routes[i].Name == "history" {
+			routes.Routes[i].Tokens = tokens
+		}
+	}
+	return routes
+}
+
+// tokensOf returns the tokens of the route history as a host knows them.
+func (f *fleet) tokensOf(host int) int64 {
+	routes, _, err := f.operators[host].Routes(context.Background())
+	if err != nil || len(routes.Routes) == 0 {
+		return -1
+	}
+	for _, r := range routes.Routes {
+		if r.Name == "history" {
+			return r.Tokens
+		}
+	}
+	return -1
+}
+
+// awaitTokens waits until every host has the tokens in force, at most as long as the target says.
+func (f *fleet) awaitTokens(c *qt.C, since time.Time, tokens int64) {
+	c.Helper()
+	for host := range f.hosts {
+		for f.tokensOf(host) != tokens {
+			if time.Since(since) > inForce {
+				c.Fatalf("host %d has %d tokens in force, want %d", host, f.tokensOf(host), tokens)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against two edits that are based on the same version and both win, and against a conflict that
+// does not tell the version to start from.
+func TestProveRaceOfEdits(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 5, engine: quick, fenced: []bool{true}})
+	for round := range 4 {
+		base, revision := f.edited(0, 100)
+		changes := make([]operator.Change, len(f.hosts))
+		errs := make([]error, len(f.hosts))
+		began := time.Now()
+		together(len(f.hosts), func(host int) {
+			edit := withTokens(base, int64(100+10*round+host))
+			changes[host], errs[host] = f.operators[host].Put(context.Background(), operator.Routes, fmt.Sprintf("race-%d-%d", round, host), revision, encode(t, edit))
+		})
+		winner := -1
+		for host, err := range errs {
+			if err == nil {
+				c.Assert(winner, qt.Equals, -1, qt.Commentf("two edits won"))
+				winner = host
+			}
+		}
+		c.Assert(winner >= 0, qt.IsTrue, qt.Commentf("%v", errs))
+		for host, err := range errs {
+			if host != winner {
+				c.Assert(failure(err).Status, qt.Equals, http.StatusPreconditionFailed, qt.Commentf("%v", err))
+				c.Assert(failure(err).Current, qt.Equals, changes[winner].Revision)
+			}
+		}
+		f.awaitTokens(c, began, int64(100+10*round+winner))
+	}
+}
+
+// Guards against an edit that is not in force on a host which is cut off from the table service or was
+// frozen, and against one that is undone by a late write or a host that returns.
+func TestProveEditInForce(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	var links []*link
+	f := newFleet(t, layout{hosts: 5, engine: quick, fenced: []bool{true}, table: func(host int, address string) string {
+		links = append(links, newLink(t, address))
+		return links[host].address()
+	}})
+	put := func(host int, id string, tokens int64) (operator.Change, error) {
+		edit, revision := f.edited(host, tokens)
+		return f.operators[host].Put(context.Background(), operator.Routes, id, revision, encode(t, edit))
+	}
+	links[4].cut()
+	links[3].cutIn()
+	began := time.Now()
+	change, err := put(0, "cut-off", 111)
+	c.Assert(err, qt.IsNil)
+	c.Assert(change.Accepted, qt.IsTrue)
+	f.awaitTokens(c, began, 111)
+	links[3].heal()
+	links[4].heal()
+
+	f.hosts[2].freeze()
+	began = time.Now()
+	_, err = put(1, "frozen", 122)
+	c.Assert(err, qt.IsNil)
+	time.Sleep(4 * time.Second) // longer than the window, so that the frozen host is not fresh
+	f.hosts[2].thaw()
+	f.awaitTokens(c, began, 122)
+
+	// The reply is lost: the edit counts, and is settled by its id.
+	setFaults(t, fault.Faults{LoseReply: 1}, f.table)
+	edit, revision := f.edited(0, 133)
+	change, err = f.operators[0].Put(context.Background(), operator.Routes, "lost-reply", revision, encode(t, edit))
+	if err != nil {
+		c.Assert(failure(err).Run, qt.Equals, "unknown", qt.Commentf("%v", err))
+	}
+	again, err := f.operators[1].Put(context.Background(), operator.Routes, "lost-reply", revision, encode(t, edit))
+	c.Assert(err, qt.IsNil)
+	c.Assert(change.Revision == 0 || change.Revision == again.Revision, qt.IsTrue)
+	f.awaitTokens(c, time.Now(), 133)
+
+	// A write that takes effect late must not undo an edit that was accepted meanwhile.
+	late, lateRevision := f.edited(0, 144)
+	setFaults(t, fault.Faults{LateWrite: document.Duration(1500 * time.Millisecond)}, f.table)
+	_, lateErr := f.operators[0].Put(context.Background(), operator.Routes, "late", lateRevision, encode(t, late))
+	setFaults(t, fault.Faults{}, f.table)
+	change, err = put(1, "after-late", 155)
+	for i := 0; i < 20 && err != nil; i++ {
+		change, err = put(1, fmt.Sprintf("after-late-%d", i), 155)
+	}
+	c.Assert(err, qt.IsNil)
+	began = time.Now()
+	c.Assert(change.Accepted, qt.IsTrue)
+	f.awaitTokens(c, began, 155)
+	time.Sleep(2 * time.Second)
+	for host := range f.hosts {
+		c.Check(f.tokensOf(host), qt.Equals, int64(155))
+	}
+	c.Log("the edit that came late was answered", lateErr)
+	// A restart of the hosts must not bring back what was in force before.
+	before := f.hosts[4].word("peers")
+	f.hosts[4].kill()
+	f.hosts, f.operators = f.hosts[:4], f.operators[:4]
+	f.addHost(layout{host: func(_ int, settings hostSettings) {
+		settings["listen"] = map[string]string{"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": before}
+	}}, 4)
+	f.awaitTokens(c, time.Now(), 155)
+	f.eventually("the replaced host serves", func() bool {
+		return f.chat(4, f.keys["yards"], "replaced", 2).status == http.StatusOK
+	})
+	f.eventually("the row of the replaced host is removed", func() bool {
+		status, err := f.operators[4].Status(context.Background())
+		return err == nil && len(status.Members) == 5
+	})
+}
+
+// Guards against changes that are carried out, or refused as not run wrongly, while the table service is
+// down and a host is killed at the same time, twice.
+func TestProveTwoFaultsAtOnce(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 5, engine: quick, fenced: []bool{true, true}})
+	edit, revision := f.edited(0, 123)
+	for round := range 2 {
+		setFaults(t, fault.Faults{Down: true}, f.table)
+		f.hosts[4-round].kill()
+		for host := range 4 - round {
+			_, err := f.operators[host].Put(context.Background(), operator.Routes, fmt.Sprintf("down-%d-%d", round, host), revision, encode(t, edit))
+			c.Check(failure(err).Run, qt.Equals, "no", qt.Commentf("%v", err))
+		}
+		time.Sleep(4 * time.Second) // longer than the window
+		for host := range 4 - round {
+			answer := f.chat(host, f.keys["yards"], fmt.Sprintf("round %d", round), 5)
+			c.Check(answer.status, qt.Equals, http.StatusOK, qt.Commentf("round %d host %d: %+v", round, host, answer))
+			c.Check(strings.HasPrefix(text(answer.body), want(fmt.Sprintf("round %d", round), 5)), qt.IsTrue)
+		}
+		setFaults(t, fault.Faults{}, f.table)
+		f.eventually("stamps work again", func() bool {
+			return f.stamp(0, fmt.Sprintf("two-%d", round), "{}").status == http.StatusOK
+		})
+		c.Check(f.executions(fmt.Sprintf("two-%d", round)), qt.Equals, 1)
+	}
+	c.Assert(f.tokensOf(0), qt.Equals, int64(400))
+}
