placement: keep an order's memory until a report shows its effect

Reports of endpoints may lag. The ledger dropped an order when the report was asked for after the result, so that with reports up to 5 s old a load that was answered vanished from the ledger and the memory was given out again: the property test, with lagging reports added, found 130 of 100 units in use.

An order now stays until a report lists its result, until an endpoint that checks numbers reports the manager's number, or until reports can no longer be that old (Settings.Lag, 10 s). On an endpoint that ignores numbers the settling time counts from the end of the last request for the order.

--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -93,7 +93,7 @@
 
 func (l *ledger) unloading(item Item) bool {
 	for _, o := range l.orders {
-		if o.Kind == Unload && o.Item() == item && (!o.known || o.result == Applied && o.resultAt > l.asked) {
+		if o.Kind == Unload && o.Item() == item && (!o.known || o.result == Applied && !o.shown) {
 			return true
 		}
 	}
@@ -106,7 +106,7 @@
 		if o.Kind != Load || o.Item() != item {
 			continue
 		}
-		if !o.known && !o.ended && now-o.issued < limit || o.known && o.result == Applied && o.resultAt > l.asked {
+		if !o.known && !o.ended && now-o.issued < limit || o.known && o.result == Applied && !o.shown {
 			return true
 		}
 	}
@@ -130,7 +130,7 @@
 }
 
 // observe applies a report and drops the orders that it shows to be dead.
-func (l *ledger) observe(r Report, size func(Item) int64, number int64, settle time.Duration) {
+func (l *ledger) observe(r Report, size func(Item) int64, number int64, s *Settings) {
 	if r.Asked < l.asked {
 		return
 	}
@@ -141,12 +141,17 @@
 		for _, o := range l.orders {
 			if o.ID == result.Order {
 				o.settle(r.Asked, result.Result)
+				o.shown = true
 			}
 		}
 	}
 	if l.Fenced && r.Fence >= number {
 		l.confirm(r.Asked, number)
 	}
+	for _, o := range l.orders {
+		confirmed := l.Fenced && r.Fence >= number && o.old && o.Fence < number
+		o.shown = o.shown || o.known && (confirmed || r.Asked >= o.resultAt+s.Lag)
+	}
 	l.unsized = false
 	resident := make(map[Item]int64, len(r.Resident))
 	l.loading = make(map[Item]bool)
@@ -160,7 +165,7 @@
 	}
 	l.resident = resident
 	l.reported, l.instance, l.asked, l.leaving = true, r.Instance, r.Asked, r.Leaving
-	l.drop(settle)
+	l.drop(s.Settle)
 }
 
 // restart drops the orders that only the former process can have received:
@@ -185,7 +190,7 @@
 	}
 	kept := l.orders[:0]
 	for _, o := range l.orders {
-		if !o.known || !o.ended || l.asked < o.resultAt+settle {
+		if !o.shown || !o.ended || l.asked < max(o.resultAt, o.endedAt)+settle {
 			kept = append(kept, o)
 		}
 	}
--- a/placement/manager.go
+++ b/placement/manager.go
@@ -91,7 +91,7 @@
 	if l.Fenced && r.Fence > m.number {
 		m.superseded = true
 	}
-	l.observe(r, m.size, m.number, m.settings.Settle)
+	l.observe(r, m.size, m.number, &m.settings)
 }
 
 // size returns the memory of an item by the table, or 0 if the table does not have this version.
--- a/placement/order.go
+++ b/placement/order.go
@@ -50,7 +50,7 @@
 // Report is what an endpoint says of itself.
 type Report struct {
 	Instance string        // new for each start of the endpoint
-	Asked    time.Duration // when the request for the report was sent: the report is not older
+	Asked    time.Duration // when the request for the report was sent; the contents may be older by Settings.Lag
 	Resident []Resident
 	Results  []OrderResult
 	Fence    int64 // highest fencing number seen
@@ -67,7 +67,8 @@
 	endedAt  time.Duration
 	known    bool
 	result   Result
-	resultAt time.Duration // the result is contained in reports asked for later
+	resultAt time.Duration
+	shown    bool // the last report contains the effect: it lists the result, or is too late to lag behind it
 }
 
 func (p *pending) settle(at time.Duration, r Result) {
--- a/placement/settings.go
+++ b/placement/settings.go
@@ -11,6 +11,7 @@
 	AdapterKnee   int           // adapter loads in flight beyond which they slow down
 	Outstanding   int           // orders without a result on an endpoint that checks fencing numbers
 	Settle        time.Duration // how long a late duplicate may arrive on an endpoint that ignores numbers
+	Lag           time.Duration // how much older than its request a report may be
 	Silence       time.Duration // age of the last report at which an endpoint counts as unreachable
 	LoadLimit     time.Duration // age at which an unanswered load no longer counts as a coming replica
 	Resend        time.Duration // wait before an order without a result is sent again
@@ -29,6 +30,7 @@
 	fill(&s.AdapterKnee, 90)
 	fill(&s.Outstanding, 4)
 	fill(&s.Settle, 60*time.Second)
+	fill(&s.Lag, 10*time.Second)
 	fill(&s.Silence, 10*time.Second)
 	fill(&s.LoadLimit, time.Minute)
 	fill(&s.Resend, 5*time.Second)
--- a/system/placement_test.go
+++ b/system/placement_test.go
@@ -154,6 +154,7 @@
 		"doubled":    {DoubleOrder: 20, LateOrder: document.Duration(time.Second)},
 		"lost":       {LoseOrder: 3},
 		"reply lost": {LoseReply: 4},
+		"lagging":    {Lag: document.Duration(2500 * time.Millisecond), DoubleOrder: 3, LateOrder: document.Duration(time.Second)},
 	}
 	for name, set := range faults {
 		for _, frozen := range []bool{false, true} {
