--- a/host/demand.go
+++ b/host/demand.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"maps"
+	"math"
 	"time"
 
 	"magnoliahoist/peer"
@@ -11,8 +13,8 @@
 	demandLife = 10 * time.Second
 	// demandStep is the least time over which a rate is taken.
 	demandStep = time.Second
-	// demandWeight is the part of the latest second in the demand, which smooths single long requests.
-	demandWeight = 0.2
+	// demandSmoothing is the time constant of the mean, which evens out single long requests.
+	demandSmoothing = 5 * time.Second
 )
 
 // hostDemand is what one host's callers use of each model.
@@ -28,18 +30,16 @@
 	rates map[string]float64
 }
 
-// advance takes up the totals; rates stay as they are within demandStep.
+// advance takes up the totals since the start; rates stay as they are within demandStep.
 func (m *meter) advance(now time.Duration, used map[string]int64) {
 	elapsed := now - m.at
-	if m.used != nil && elapsed < demandStep {
+	if elapsed < demandStep {
 		return
 	}
-	if m.rates == nil {
-		m.rates = map[string]float64{}
-	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/demandSmoothing.Seconds())
 	for model, total := range used {
 		latest := float64(total-m.used[model]) / elapsed.Seconds()
-		m.rates[model] += demandWeight * (latest - m.rates[model])
+		m.rates[model] += weight * (latest - m.rates[model])
 	}
 	m.at, m.used = now, used
 }
@@ -50,15 +50,11 @@
 	defer h.mu.Unlock()
 	m := h.meters[pool]
 	if m == nil {
-		m = &meter{at: h.Now(), used: map[string]int64{}}
+		m = &meter{at: h.Now(), used: map[string]int64{}, rates: map[string]float64{}}
 		h.meters[pool] = m
 	}
 	m.advance(h.Now(), h.state.Used(pool))
-	rates := make(map[string]float64, len(m.rates))
-	for model, rate := range m.rates {
-		rates[model] = rate
-	}
-	return rates
+	return maps.Clone(m.rates)
 }
 
 // demandsOf returns the demand on this host as a message.
--- a/host/manager.go
+++ b/host/manager.go
@@ -27,11 +27,13 @@
 	client   *http.Client
 	observed chan struct{} // says that there is a newer view
 
-	driver     *order.Driver // only used by direct
+	// Used by direct only. One driver counts all writes under the number, by which it knows its own.
+	driver     *order.Driver
 	recorded   map[string][]placement.Record
-	sends      sync.WaitGroup
+	taken      bool
 	superseded bool
 	sequence   int64 // used by an earlier takeover under the same number
+	sends      sync.WaitGroup
 
 	mu        sync.Mutex // guards what follows; it may be held when Host.mu is taken
 	placement *placement.Manager
@@ -48,6 +50,7 @@
 		observed: make(chan struct{}, 1),
 		demands:  map[string]hostDemand{},
 	}
+	m.driver = order.New(h.table, m.client, pool, number)
 	m.ctx, m.cancel = context.WithCancel(h.tomb.Context(context.Background()))
 	return m
 }
@@ -95,7 +98,7 @@
 
 // takeOver rewrites the pool's rows under the manager's number; nothing is sent before that has succeeded.
 func (m *manager) takeOver() bool {
-	if m.driver != nil {
+	if m.taken {
 		return true
 	}
 	entry, _ := m.entry()
@@ -103,10 +106,9 @@
 	for n, e := range entry.Endpoints {
 		names[n] = e.Name
 	}
-	driver := order.New(m.host.table, m.client, m.pool, m.number)
 	ctx, cancel := context.WithTimeout(m.ctx, takeOverTimeout)
 	defer cancel()
-	records, err := driver.TakeOver(ctx, names)
+	records, err := m.driver.TakeOver(ctx, names)
 	if err != nil {
 		m.failed(err)
 		return false
@@ -118,7 +120,7 @@
 	for _, r := range records {
 		m.recorded[r.Order.Endpoint] = append(m.recorded[r.Order.Endpoint], r)
 	}
-	m.driver = driver
+	m.taken = true
 	m.mu.Lock()
 	m.placement = next
 	m.mu.Unlock()
--- a/host/orders.go
+++ b/host/orders.go
@@ -75,7 +75,7 @@
 	switch {
 	case errors.Is(err, order.ErrSuperseded):
 		m.superseded = true
-	case errors.Is(err, order.ErrForeign) && m.driver != nil:
+	case errors.Is(err, order.ErrForeign) && m.taken:
 		m.repeat()
 	}
 	m.host.log.Warn("host: unable to record orders", "pool", m.pool, "number", m.number, "error", err)
@@ -87,7 +87,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence = m.placement.Sequence()
-	m.placement, m.driver = nil, nil
+	m.placement, m.taken = nil, false
 }
 
 func (m *manager) unsent(orders []placement.Order) {
@@ -101,7 +101,6 @@
 // dispatch sends an endpoint's orders in sequence, without waiting for the end of long ones.
 func (m *manager) dispatch(address string, orders []placement.Order) {
 	slices.SortFunc(orders, func(a, b placement.Order) int { return int(a.Sequence - b.Sequence) })
-	driver := m.driver
 	m.sends.Add(len(orders))
 	go func() {
 		for _, o := range orders {
@@ -109,7 +108,7 @@
 			go func() {
 				defer m.sends.Done()
 				defer close(ended)
-				m.send(driver, address, o)
+				m.send(address, o)
 			}()
 			select {
 			case <-ended:
@@ -120,7 +119,7 @@
 }
 
 // send sends one recorded order, if the lease may be used at this moment.
-func (m *manager) send(driver *order.Driver, address string, o placement.Order) {
+func (m *manager) send(address string, o placement.Order) {
 	ctx, cancel := context.WithTimeout(m.ctx, orderTimeout)
 	defer cancel()
 	m.recordOrder(timeline.Ordered, o)
@@ -128,7 +127,7 @@
 		m.recordOrder(timeline.Lost, o)
 		return
 	}
-	result, err := driver.Send(ctx, address, o)
+	result, err := m.driver.Send(ctx, address, o)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
