--- /dev/null
+++ b/system/order_test.go
@@ -0,0 +1,96 @@
+package system_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/document"
+	"magnoliahoist/fault"
+	"magnoliahoist/pool"
+	"magnoliahoist/table"
+)
+
+// orderDelay is longer than a takeover, so that an order outlives the lease of its sender.
+const orderDelay = 30 * time.Second
+
+// Guards against memory that the next lease holder gives out although an order of the former one, or
+// its copy, is still on its way to an engine that ignores fencing numbers.
+func TestProveOrderOutlivesItsSender(t *testing.T) {
+	late := document.Duration(orderDelay)
+	for name, test := range map[string]struct {
+		faults fault.Faults
+		frozen bool
+	}{
+		"late, killed":    {fault.Faults{LateOrder: late}, false},
+		"late, frozen":    {fault.Faults{LateOrder: late}, true},
+		"doubled, killed": {fault.Faults{LateOrder: late, DoubleOrder: 1}, false},
+		"doubled, frozen": {fault.Faults{LateOrder: late, DoubleOrder: 1}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			outlive(t, test.faults, test.frozen)
+		})
+	}
+}
+
+// outlive orders a second replica onto the engine that ignores numbers, ends or stops the holder, and
+// then changes the model's version, for which the engine has room only without the old order.
+func outlive(t *testing.T, set fault.Faults, frozen bool) {
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 3, engine: quick, fenced: []bool{false, true}, empty: true, edit: twoModels(1)})
+	f.eventually("models are placed", func() bool { return f.placed("1", "inspect-7b", "script-8b") && f.serves(0) })
+	missing := "inspect-7b"
+	if f.holds(0, missing, "1") {
+		missing = "script-8b"
+	}
+	c.Assert(f.holds(0, missing, "1"), qt.IsFalse)
+	holder, number := f.lease("inspection")
+	live := (holder + 1) % len(f.hosts)
+	setFault(t, f.engines[0].address(), set)
+	f.change(holder, "replicas", func(models []pool.Model) {
+		for n := range models {
+			models[n].Replicas = 2
+		}
+	})
+	f.eventually("the load is recorded", func() bool { return f.recorded("engine-0", missing) })
+	sent := time.Now()
+	time.Sleep(500 * time.Millisecond) // a record comes before its order
+	if frozen {
+		f.hosts[holder].freeze()
+	} else {
+		f.hosts[holder].kill()
+	}
+	setFault(t, f.engines[0].address(), fault.Faults{})
+	f.change(live, "version", func(models []pool.Model) {
+		for n := range models {
+			if models[n].Name == missing {
+				models[n].Version = "2"
+			}
+		}
+	})
+	f.eventually("another host takes over", func() bool {
+		_, next := f.lease("inspection")
+		return next > number
+	})
+	c.Assert(time.Since(sent) < orderDelay, qt.IsTrue, qt.Commentf("the takeover took longer than the order"))
+	f.eventually("the new version is placed", func() bool { return f.placed("2", missing) })
+	time.Sleep(time.Until(sent.Add(orderDelay + 3*time.Second)))
+	if frozen {
+		f.hosts[holder].thaw()
+		time.Sleep(3 * time.Second) // the former holder goes on with what it had begun
+	}
+	f.eventually("both models are served", func() bool { return f.serves(live) })
+	f.checkMemory()
+}
+
+// recorded reports whether the row of an endpoint has an order for a model.
+func (f *fleet) recorded(endpoint, model string) bool {
+	key := "order/inspection/" + endpoint
+	rows, err := table.New(f.table.address(), http.DefaultClient).Read(context.Background(), key, 0)
+	return err == nil && len(rows.Rows) > 0 && strings.Contains(string(rows.Rows[0].Value), `"`+model+`"`)
+}
--- a/system/placement_test.go
+++ b/system/placement_test.go
@@ -68,21 +68,29 @@
 	return -1, held.Number
 }
 
-// upgrade changes the version of every model of the first pool.
-func (f *fleet) upgrade(host int, version string) {
+// change edits the models of the first pool.
+func (f *fleet) change(host int, id string, edit func(models []pool.Model)) {
 	f.t.Helper()
 	pools, revision, err := f.operators[host].Pools(context.Background())
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	for n := range pools.Pools[0].Models {
-		pools.Pools[0].Models[n].Version = version
-	}
-	if _, err := f.operators[host].Put(context.Background(), operator.Pools, "upgrade-"+version, revision, encode(f.t, pools)); err != nil {
+	edit(pools.Pools[0].Models)
+	if _, err := f.operators[host].Put(context.Background(), operator.Pools, id, revision, encode(f.t, pools)); err != nil {
 		f.t.Fatal(err)
 	}
 }
 
+// upgrade changes the version of every model of the first pool.
+func (f *fleet) upgrade(host int, version string) {
+	f.t.Helper()
+	f.change(host, "upgrade-"+version, func(models []pool.Model) {
+		for n := range models {
+			models[n].Version = version
+		}
+	})
+}
+
 // holds reports whether an engine holds a model in a version, ready to serve.
 func (f *fleet) holds(engine int, model, version string) bool {
 	var load fakeengine.Load
