--- a/bench/input.go
+++ b/bench/input.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"magnoliahoist/pool"
@@ -51,6 +52,19 @@
 	return d, nil
 }
 
+// scaled returns the deployment with other rates, so that endpoints instead of limits may be short.
+func (d Deployment) scaled(factor float64) Deployment {
+	if factor == 0 {
+		return d
+	}
+	d.Routes.Accounts = slices.Clone(d.Routes.Accounts)
+	for n := range d.Routes.Accounts {
+		a := &d.Routes.Accounts[n]
+		a.Rate, a.Burst = a.Rate*factor, int64(float64(a.Burst)*factor)
+	}
+	return d
+}
+
 const hosts = 5
 
 // Input is a demand with faults.
@@ -58,7 +72,8 @@
 	Name      string
 	Length    time.Duration // of the arrivals
 	Flood     bool          // the first account sends five times its rate
-	Shift     bool          // demand moves to other models half-way
+	Shift     bool          // all accounts send near their rate to the same few models, to others from half-way
+	Scale     float64       // of rates and bursts; 0 leaves them
 	Endpoint  bool          // an endpoint is lost for faultFor
 	Host      bool          // a host is lost
 	StaleList bool          // the host list does not change
@@ -73,6 +88,7 @@
 		{Name: "bursts", Length: short},
 		{Name: "flood", Length: short, Flood: true},
 		{Name: "shift", Length: short, Shift: true},
+		{Name: "scarce", Length: short, Shift: true, Scale: 2},
 		{Name: "endpoint lost", Length: short, Endpoint: true},
 		{Name: "host lost", Length: short, Host: true},
 		{Name: "stale list", Length: short, Host: true, StaleList: true},
@@ -94,17 +110,20 @@
 // demand makes the arrivals of an input; the same seed gives the same arrivals for every variant.
 func demand(d Deployment, in Input, seed uint64) []arrival {
 	random := rand.New(rand.NewPCG(seed, 1))
+	models := modelPool(d.Pools).Models
+	common, moved := random.Perm(len(models)), random.Perm(len(models))
 	var list []arrival
 	for n, a := range d.Routes.Accounts {
 		routes := routesOf(d, a.Name)
 		order := random.Perm(len(routes))
-		later := random.Perm(len(routes))
 		home := random.IntN(hosts)
 		busy, until := false, time.Duration(0)
 		for at := time.Duration(0); ; {
 			factor := idleFactor
 			if in.Flood && n == 0 {
 				factor = floodFactor
+			} else if in.Shift {
+				factor = steadyFactor
 			} else if busy {
 				factor = busyFactor
 			}
@@ -120,11 +139,17 @@
 				}
 				until += time.Duration(random.ExpFloat64() * float64(mean))
 			}
-			ranks := order
-			if in.Shift && at > in.Length/2 {
-				ranks = later
+			pick := routes[order[zipf(random, len(routes))]]
+			if in.Shift {
+				ranks := common
+				if at > in.Length/2 {
+					ranks = moved
+				}
+				wanted := models[ranks[zipf(random, len(models))]].Name
+				for pick = routes[random.IntN(len(routes))]; d.Routes.Routes[pick].Model != wanted; {
+					pick = routes[random.IntN(len(routes))]
+				}
 			}
-			pick := routes[ranks[zipf(random, len(routes))]]
 			host := home
 			if random.Float64() > sticky {
 				host = random.IntN(hosts)
--- a/bench/model.go
+++ b/bench/model.go
@@ -46,6 +46,7 @@
 	idleFactor   = 0.25 // demand between bursts
 	burstLength  = 5 * time.Second
 	pauseLength  = 20 * time.Second
+	steadyFactor = 0.9
 	floodFactor  = 5.0
 	sticky       = 0.7 // part of an account's calls that reach one host
 )
--- a/bench/run.go
+++ b/bench/run.go
@@ -53,6 +53,7 @@
 
 // Run carries out one run and returns its measures.
 func Run(d Deployment, in Input, v Variant, seed uint64) Result {
+	d = d.scaled(in.Scale)
 	r := newRun(d, in, v, seed)
 	arrivals := demand(d, in, seed)
 	for id, a := range arrivals {
