queue, state: let an account's other models pass a head whose endpoints are busy

Cause: the queue asked only about the first item of an account, so one that waited for a busy model held up the account's requests for idle models. Change: an account's items are kept by model, and Next asks about the heads of the first eight models. An account whose head lacks tokens is still skipped whole, so that small requests do not starve a large one.

--- a/queue/frontier.go
+++ b/queue/frontier.go
@@ -1,11 +1,11 @@
 package queue
 
 // pushFrontier adds a position of list to a binary heap of positions.
-func pushFrontier(heap []int, list []*account, at int) []int {
+func pushFrontier[T any](heap []int, list []T, before func(a, b T) bool, at int) []int {
 	heap = append(heap, at)
 	for i := len(heap) - 1; i > 0; {
 		parent := (i - 1) / 2
-		if !accountBefore(list[heap[i]], list[heap[parent]]) {
+		if !before(list[heap[i]], list[heap[parent]]) {
 			break
 		}
 		heap[i], heap[parent] = heap[parent], heap[i]
@@ -15,7 +15,7 @@
 }
 
 // popFrontier drops the first position of a binary heap of positions.
-func popFrontier(heap []int, list []*account) []int {
+func popFrontier[T any](heap []int, list []T, before func(a, b T) bool) []int {
 	last := len(heap) - 1
 	heap[0] = heap[last]
 	heap = heap[:last]
@@ -24,10 +24,10 @@
 		if child >= last {
 			return heap
 		}
-		if right := child + 1; right < last && accountBefore(list[heap[right]], list[heap[child]]) {
+		if right := child + 1; right < last && before(list[heap[right]], list[heap[child]]) {
 			child = right
 		}
-		if !accountBefore(list[heap[child]], list[heap[i]]) {
+		if !before(list[heap[child]], list[heap[i]]) {
 			return heap
 		}
 		heap[i], heap[child] = heap[child], heap[i]
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -10,10 +10,14 @@
 // does not allocate an account for each request.
 const maxIdle = 1024
 
+// maxClasses is how many classes of an account Next asks about, so that its cost does not grow with the models.
+const maxClasses = 8
+
 // Item is a request that waits.
 type Item struct {
 	ID       uint64        // unique among waiting items
 	Account  string        // client account that is served
+	Class    string        // of the account's items; those of one class need the same endpoints
 	Weight   float64       // the account's rate in tokens a second
 	Tokens   int64         // upper bound of the request's cost
 	Priority int           // higher goes first within the account
@@ -32,7 +36,8 @@
 	active   heap[*account]
 	expiry   heap[*entry]
 	expired  []Item // expired items that Next has found
-	frontier []int  // scratch of Next
+	frontier []int  // scratch of Next, positions of accounts
+	heads    []int  // scratch of Next, positions of an account's classes
 }
 
 // New returns an empty queue.
@@ -72,8 +77,7 @@
 	q.arrivals++
 	e := &entry{item: i, account: a, arrival: q.arrivals, inExpiry: -1}
 	q.entries[i.ID] = e
-	a.waiting.push(e)
-	a.tokens += i.Tokens
+	a.push(e)
 	if i.Deadline != 0 {
 		q.expiry.push(e)
 	}
@@ -88,17 +92,18 @@
 	q.active.push(a)
 }
 
-// Next removes and returns the first item in fair order whose account's head is
-// ready; it returns false only when no head is ready. Items past their deadline are
+// Next removes and returns the first item in fair order that is ready among the heads
+// of each account's first classes; it returns false only when none is. Within an
+// account, a class is asked about only after those before it were not ready. Items past their deadline are
 // left to Expire. The cost is logarithmic in the accounts that wait and in those
 // skipped. An account that was skipped does not save up service meanwhile.
 func (q *Queue) Next(now time.Duration, ready func(Item) bool) (Item, bool) {
 	q.expire(now)
-	a := q.firstReady(ready)
-	if a == nil {
+	e := q.firstReady(ready)
+	if e == nil {
 		return Item{}, false
 	}
-	e := a.waiting.list[0]
+	a := e.account
 	q.virtual = max(q.virtual, a.start)
 	a.start = q.virtual + cost(e.item)
 	q.active.fix(a.active)
@@ -139,25 +144,42 @@
 
 // firstReady searches the heap of active accounts best first, so that skipped
 // accounts stay in place.
-func (q *Queue) firstReady(ready func(Item) bool) *account {
+func (q *Queue) firstReady(ready func(Item) bool) *entry {
 	list := q.active.list
 	found := q.frontier[:0]
 	if len(list) > 0 {
 		found = append(found, 0)
 	}
-	var first *account
-	for len(found) > 0 {
+	var first *entry
+	for len(found) > 0 && first == nil {
+		at := found[0]
+		found = popFrontier(found, list, accountBefore)
+		first = q.readyOf(list[at], ready)
+		for child := 2*at + 1; child <= 2*at+2 && child < len(list); child++ {
+			found = pushFrontier(found, list, accountBefore, child)
+		}
+	}
+	q.frontier = found[:0]
+	return first
+}
+
+// readyOf returns the first ready head among the account's first classes.
+func (q *Queue) readyOf(a *account, ready func(Item) bool) *entry {
+	list := a.classes.list
+	found := append(q.heads[:0], 0)
+	var first *entry
+	for tries := 0; len(found) > 0 && tries < maxClasses; tries++ {
 		at := found[0]
-		found = popFrontier(found, list)
-		if ready(list[at].waiting.list[0].item) {
-			first = list[at]
+		found = popFrontier(found, list, classBefore)
+		if head := list[at].waiting.list[0]; ready(head.item) {
+			first = head
 			break
 		}
 		for child := 2*at + 1; child <= 2*at+2 && child < len(list); child++ {
-			found = pushFrontier(found, list, child)
+			found = pushFrontier(found, list, classBefore, child)
 		}
 	}
-	q.frontier = found[:0]
+	q.heads = found[:0]
 	return first
 }
 
@@ -166,12 +188,11 @@
 func (q *Queue) detach(e *entry) {
 	a := e.account
 	delete(q.entries, e.item.ID)
-	a.waiting.remove(e.inQueue)
-	a.tokens -= e.item.Tokens
+	a.remove(e)
 	if e.inExpiry >= 0 {
 		q.expiry.remove(e.inExpiry)
 	}
-	if len(a.waiting.list) == 0 {
+	if len(a.classes.list) == 0 {
 		q.active.remove(a.active)
 	}
 	if len(q.entries) > 0 {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -44,6 +44,26 @@
 	qt.Assert(t, q.Len(), qt.Equals, 0)
 }
 
+// Guards against a head that waits for one model holding up the account's other models, and against
+// asking about so many models that the cost grows with them.
+func TestNextPassesClassesThatAreNotReady(t *testing.T) {
+	q := New()
+	for n := range uint64(20) {
+		q.Push(Item{ID: n, Account: "a", Class: fmt.Sprint(n % 10), Weight: 1, Tokens: 1})
+	}
+	i, ok := q.Next(0, func(i Item) bool { return i.Class == "1" })
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, i.ID, qt.Equals, uint64(1))
+	asked := 0
+	_, ok = q.Next(0, func(Item) bool { asked++; return false })
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, asked, qt.Equals, maxClasses)
+	for _, want := range []uint64{0, 2, 3} {
+		i, _ = q.Next(0, always)
+		qt.Assert(t, i.ID, qt.Equals, want)
+	}
+}
+
 // Guards against an account that saves up service while its head is not ready.
 func TestSkippedAccountDoesNotSaveUp(t *testing.T) {
 	q := New()
@@ -108,7 +128,7 @@
 			}
 			switch kind {
 			case 0, 1, 2:
-				i := Item{step, fmt.Sprint(a), weights[a], rapid.Int64Range(1, maxTokens).Draw(t, "tokens"), rapid.IntRange(0, 2).Draw(t, "priority"), 0}
+				i := Item{step, fmt.Sprint(a), fmt.Sprint(step % 3), weights[a], rapid.Int64Range(1, maxTokens).Draw(t, "tokens"), rapid.IntRange(0, 2).Draw(t, "priority"), 0}
 				q.Push(i)
 				waiting[step] = i
 			case 3:
--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -15,9 +15,14 @@
 	}
 	for {
 		picked := -1
+		short, isShort := "", false // account without tokens for its head; smaller requests may not pass it
 		item, found := p.queue.Next(now, func(i queue.Item) bool {
+			if isShort && i.Account == short {
+				return false
+			}
 			r := s.requests[i.ID]
 			if !s.affordable(now, r) {
+				short, isShort = i.Account, true
 				return false
 			}
 			index, available := p.view.Pick(now, s.want(p, r))
--- a/state/request.go
+++ b/state/request.go
@@ -162,6 +162,7 @@
 	item := queue.Item{
 		ID:       r.Request,
 		Account:  r.account.Name,
+		Class:    r.route.Model,
 		Weight:   r.account.Rate,
 		Tokens:   r.bound,
 		Priority: r.route.Priority,
