endpoint: lower the gain of the prefix's endpoint from 0.3 to 0.1 loads

Cause: with a gain of 0.3 of a full endpoint, popular prefixes filled their endpoint's batch, which slows every token of it, while others had room.

--- a/endpoint/settings.go
+++ b/endpoint/settings.go
@@ -31,7 +31,7 @@
 	fill(&s.Overcommit, 1)
 	fill(&s.SlotTokens, 1024)
 	fill(&s.TokenWeight, 0.5)
-	fill(&s.AffinityGain, 0.3)
+	fill(&s.AffinityGain, 0.1)
 	fill(&s.AffinityBound, 1.25)
 	fill(&s.AffinitySlack, 0.2)
 	fill(&s.MissCost, 0.5)
