model: members that others removed and that still run

A removal is now made by another host with its own view, and a removed host may keep running (ZOMBIE).

ONE_APPLIED was no longer found, because the condition on earlier sets now also covers the present set when no member has changed. It weakens both counts now, which is the same mistake, and is found.

--- a/model/accept.pml
+++ b/model/accept.pml
@@ -61,40 +61,50 @@
 #define member(id, at) (joined[id] <= at && gone[id] > at)
 #define majority(count) ((count) / 2 + 1)
 
-/* ok: the revision r is accepted by the members as of v. */
-inline judge() {
-	n = 0; c = 0; i = 0;
+/* The members as of v, and how many of them miss the revision r; ok if a majority has it. */
+inline count() {
+	n = 0; miss = 0; i = 0;
 	do
-	:: i < N -> n = n + (member(i, v) -> 1 : 0); i++
+	:: i < N -> n = n + (member(i, v) -> 1 : 0); miss = miss + (member(i, v) && rev[i] < r -> 1 : 0); i++
 	:: else -> break
 	od;
-	ok = n > 0; miss = 0; q = 0;
+#ifdef ONE_APPLIED
+	ok = n > miss
+#else
+	ok = n > 0 && n - miss >= majority(n)
+#endif
+}
+
+/*
+ * ok: the revision r is accepted by the members as of v. No majority of an earlier set, by which a
+ * fresh host may still count, may miss it. Members that left by themselves have stopped and are not
+ * counted in earlier sets; members that others removed may still run and count as missing.
+ */
+inline judge() {
+	count();
+#ifndef NO_EARLIER_SETS
+	q = settled;
 	do
-	:: q <= v && ok -> i = 0;
+	:: q < r && ok -> c = 0; miss = 0; i = 0;
 		do
-		:: i < N && ok ->
+		:: i < N ->
 			if
-			:: joined[i] == q && gone[i] > v ->
-#ifndef NO_EARLIER_SETS
-				/* The set of the members up to the one before i, with which a host may still count. */
-				if
-				:: c > 0 && joined[i] > settled && j <= r && miss >= majority(c) -> ok = false
-				:: else
-				fi;
+			:: member(i, q) && gone[i] > v -> c++; miss = miss + (rev[i] < r -> 1 : 0)
+#if defined(ZOMBIE) && !defined(NO_REMOVED_COUNT)
+			:: member(i, q) && gone[i] <= v -> c++; miss++
 #endif
-				c++; j = joined[i];
-				miss = miss + (rev[i] < r -> 1 : 0);
 			:: else
-			fi;
-			i++
+			fi; i++
 		:: else -> break
-		od; q++
-	:: else -> break
-	od;
+		od;
 #ifdef ONE_APPLIED
-	ok = ok && n > miss
+		ok = (c == 0 || miss < c);
 #else
-	ok = ok && n - miss >= majority(n)
+		ok = (c == 0 || miss < majority(c));
+#endif
+		q++
+	:: else -> break
+	od
 #endif
 }
 
@@ -209,17 +219,31 @@
 		learn(k, from[k], got[k], age[k]); from[k] = NEVER; age[k] = 0; got[k] = 0 }
 	/* Members. */
 	:: atomic { faulty && !stopped[k] && head < R && joined[k] == NEVER -> commit(); joined[k] = head }
-#ifdef REMOVE
+#if defined(REMOVE) && !defined(ZOMBIE)
 	:: atomic { faulty && !stopped[k] && k > 0 -> /* dies, or drains and removes its row */
-#ifdef ZOMBIE
-		skip -> /* is taken for dead but still runs */
-#else
 		stopped[k] = true;
-#endif
 		if
 		:: head < R && joined[k] < NEVER && gone[k] == NEVER -> commit(); gone[k] = head
 		:: true
 		fi }
+#endif
+#if defined(REMOVE) && defined(ZOMBIE)
+	/* Another host p takes k for dead and removes it, but k still runs. */
+	:: atomic { faulty && k > 0 && head < R && gone[k] == NEVER ->
+		if
+		:: p = 0
+		:: k != 1 -> p = 1
+		:: k != N-1 -> p = N-1
+		fi;
+		v = rev[p]; r = v; count();
+		if
+#ifdef REMOVE_ANY
+		:: member(k, rev[p]) -> commit(); gone[k] = head
+#else
+		:: member(k, rev[p]) && ok -> commit(); gone[k] = head
+#endif
+		:: else
+		fi; p = 0 }
 #endif
 	/* A key change is conditional on its own row only. */
 	:: atomic { faulty && !stopped[k] && head < R -> commit() }
