--- a/model/drain.pml
+++ b/model/drain.pml
@@ -150,7 +150,7 @@
  * A host learns that an endpoint leaves from the host list, which lags at most LIST ticks, and from the
  * endpoint's reports, which the lease holder passes on. A source that works is asked once a tick. One
  * source may fail and recover: the list is stale or down, or the holder is dead or cut off. An answer
- * may be late. With -DBOTH both sources may fail.
+ * of the list may be late, unless -DIN_ORDER is set. With -DBOTH both sources may fail.
  */
 #define LIST 1
 #define LIMIT (LIST + 1) /* ticks, of 1 s */
@@ -170,9 +170,13 @@
 #define single(other) (!other)
 #endif
 
-inline learn(x) {
-#ifdef LAST_WINS
+bool listed, summary;    /* the last answer of each source */
+
+inline learn(source, x) {
+#if defined(LAST_WINS)
 	leaving = x
+#elif defined(LAST_OF_EACH)
+	source = x; leaving = listed || summary
 #else
 	leaving = leaving || x
 #endif
@@ -185,21 +189,21 @@
 	:: atomic { left && !published && !stale -> published = true }
 	:: atomic { !asked && !unlisted -> asked = true;
 #ifndef REPORT_ONLY
-		learn(published)
+		learn(listed, published)
 #endif
 		}
-#ifndef LIVE
+#if !defined(LIVE) && !defined(IN_ORDER)
 	:: atomic { late == 2 && !unlisted -> late = (published -> 1 : 0) }
 	:: atomic { late != 2 ->
 #ifndef REPORT_ONLY
-		learn(late);
+		learn(listed, late);
 #endif
 		late = 2 }
 #endif
 	:: atomic { !told && !cut -> told = true; reported = left }
 	:: atomic { !passed && !cut -> passed = true;
 #ifndef LIST_ONLY
-		learn(reported)
+		learn(summary, reported)
 #endif
 		}
 	/* Faults. */
