system: measure what a host adds to a call

The test makes the same call to the engine and through a host in turns, at 1, 16 and 128 callers, whole and streamed. With no flag it only checks that every answer is complete.

--- /dev/null
+++ b/system/overhead_test.go
@@ -0,0 +1,248 @@
+package system_test
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahoist/config"
+	"magnoliahoist/dev"
+	"magnoliahoist/host"
+	"magnoliahoist/operator"
+	"magnoliahoist/pool"
+	"magnoliahoist/route"
+)
+
+// overheadTime is the time of each measurement; without it only a few calls are made and checked.
+var overheadTime = flag.Duration("overhead", 0, "measure a host's overhead, this long for each number of callers")
+
+const (
+	overheadRounds = 10  // alternations between direct calls and calls through the host
+	overheadSlots  = 512 // more than callers, so that no call waits for a slot
+	overheadTokens = 16
+	overheadRate   = 1e9 // tokens a second, above what the calls can use
+	overheadPrompt = "Summarise the inspections of ladder 4711."
+)
+
+// path is one way to the engine, with what was measured on it.
+type path struct {
+	address, key, model string
+	whole, first        *hdrhistogram.Histogram // nanoseconds
+	allocs, calls       uint64
+}
+
+func newPath(address, key, model string) *path {
+	p := &path{address: address, key: key, model: model}
+	p.reset()
+	return p
+}
+
+func (p *path) reset() {
+	p.whole, p.first = hdrhistogram.New(1000, int64(time.Minute), 3), hdrhistogram.New(1000, int64(time.Minute), 3)
+	p.allocs, p.calls = 0, 0
+}
+
+// call makes one call and returns the times to its first byte of the body and to its end.
+func (p *path) call(client *http.Client, body, want string) (first, whole time.Duration, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if p.key != "" {
+		request.Header.Set("Authorization", "Bearer "+p.key)
+	}
+	start := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer response.Body.Close()
+	reader := bufio.NewReader(response.Body)
+	if _, err := reader.Peek(1); err != nil {
+		return 0, 0, err
+	}
+	first = time.Since(start)
+	data, err := io.ReadAll(reader)
+	whole = time.Since(start)
+	if err == nil && (response.StatusCode != http.StatusOK || !strings.Contains(string(data), want)) {
+		err = fmt.Errorf("%s: %s", response.Status, data)
+	}
+	return first, whole, err
+}
+
+// run makes calls by a number of callers until the time is up, each caller at least one.
+func (p *path) run(client *http.Client, callers int, stream bool, length time.Duration) error {
+	body := strings.Replace(chatBody(overheadPrompt, overheadTokens, stream), `"history"`, `"`+p.model+`"`, 1)
+	expected := want(overheadPrompt, overheadTokens)
+	if stream {
+		expected = "[DONE]"
+	}
+	var mu sync.Mutex
+	var failed error
+	var group sync.WaitGroup
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	end := time.Now().Add(length)
+	for range callers {
+		group.Go(func() {
+			whole, first := hdrhistogram.New(1000, int64(time.Minute), 3), hdrhistogram.New(1000, int64(time.Minute), 3)
+			var err error
+			for err == nil {
+				var f, w time.Duration
+				f, w, err = p.call(client, body, expected)
+				whole.RecordValue(int64(w))
+				first.RecordValue(int64(f))
+				if !time.Now().Before(end) {
+					break
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			p.whole.Merge(whole)
+			p.first.Merge(first)
+			if err != nil {
+				failed = err
+			}
+		})
+	}
+	group.Wait()
+	runtime.ReadMemStats(&after)
+	p.allocs += after.Mallocs - before.Mallocs
+	p.calls = uint64(p.whole.TotalCount())
+	return failed
+}
+
+// measureOverhead compares the paths in turns, so that other load on the machine meets both alike.
+func measureOverhead(t *testing.T, place string, direct, through *path) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: overheadSlots}}
+	defer client.CloseIdleConnections()
+	for _, stream := range []bool{false, true} {
+		for _, callers := range []int{1, 16, 128} {
+			for round := -1; round < overheadRounds; round++ { // the first round opens the connections
+				if round == 0 {
+					direct.reset()
+					through.reset()
+				}
+				for _, p := range []*path{direct, through} {
+					if err := p.run(client, callers, stream, *overheadTime/(2*overheadRounds)); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			report(t, place, stream, callers, direct, through)
+		}
+	}
+}
+
+func report(t *testing.T, place string, stream bool, callers int, direct, through *path) {
+	kind := "whole"
+	if stream {
+		kind = "stream"
+	}
+	micro := func(ns int64) float64 { return float64(ns) / 1000 }
+	d, h := direct.whole, through.whole
+	t.Logf("%s %-6s %3d callers: median %6.0f -> %6.0f us (ratio %.2f), p99 %6.0f -> %6.0f us (ratio %.2f), first +%.0f us, calls %d, %d%s",
+		place, kind, callers,
+		micro(d.ValueAtQuantile(50)), micro(h.ValueAtQuantile(50)), float64(h.ValueAtQuantile(50))/float64(d.ValueAtQuantile(50)),
+		micro(d.ValueAtQuantile(99)), micro(h.ValueAtQuantile(99)), float64(h.ValueAtQuantile(99))/float64(d.ValueAtQuantile(99)),
+		micro(through.first.ValueAtQuantile(50)-direct.first.ValueAtQuantile(50)), d.TotalCount(), h.TotalCount(),
+		allocations(place, direct, through))
+}
+
+// allocations are the host's allocations for each call, where they can be told.
+func allocations(place string, direct, through *path) string {
+	if place != "inside" {
+		return ""
+	}
+	return fmt.Sprintf(", host allocations %.0f", float64(through.allocs)/float64(through.calls)-float64(direct.allocs)/float64(direct.calls))
+}
+
+// raise lets the tables admit all the calls of the measurement.
+func raise(routes *route.Table, pools *pool.Table) {
+	for i := range routes.Accounts {
+		routes.Accounts[i].Rate, routes.Accounts[i].Burst = overheadRate, overheadRate
+	}
+	for i := range pools.Pools[0].Endpoints {
+		pools.Pools[0].Endpoints[i].Slots = overheadSlots
+	}
+}
+
+// TestOverhead guards against answers that are wrong or incomplete with many callers at once; with
+// -overhead it measures what a host in a process of its own adds to a call.
+func TestOverhead(t *testing.T) {
+	engine := quick
+	engine.Slots = overheadSlots
+	f := newFleet(t, layout{hosts: 1, engine: engine, fenced: []bool{true}, edit: raise})
+	measureOverhead(t, "processes", newPath(f.engines[0].address(), "", "inspect-7b"), newPath(f.hosts[0].word("callers"), f.keys["yards"], "history"))
+}
+
+// TestOverheadInside is TestOverhead with host and engine in the process of the callers, where the
+// allocations of a call through the host less those of a direct call are the host's.
+func TestOverheadInside(t *testing.T) {
+	f := &fleet{t: t, keys: map[string]string{}}
+	inside := func(kind string, o dev.Options) string {
+		standin, err := dev.NewStandin(kind, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go standin.Serve(listener)
+		t.Cleanup(func() {
+			standin.Stop()
+			<-standin.Done()
+		})
+		return listener.Addr().String()
+	}
+	engine := quick
+	engine.Slots, engine.Memory, engine.Resident = overheadSlots, engineMemory, residents()
+	address := inside("engine", engine)
+	settings := config.Default()
+	settings.Domain, settings.Credential, settings.Secret = domains[0], testCredential, testSecret
+	settings.Listen = config.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	settings.Platform.Table, settings.Platform.Objects, settings.Platform.Hosts = inside("table", dev.Options{}), inside("objects", dev.Options{}), inside("hosts", dev.Options{})
+	h, err := host.New(settings, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		h.Kill()
+		<-h.Done()
+	})
+	callers, operators, _ := h.Addresses()
+	f.operators = []*operator.Client{operator.NewClient(operators, testCredential, &http.Client{Timeout: settle})}
+	f.eventually("host serves", func() bool { return h.Ready() })
+	routes, pools := f.tables(layout{})
+	pools.Pools[0].Models[0].Replicas = 1
+	pools.Pools[0].Endpoints = []pool.Endpoint{{Name: "engine-0", Address: address, Domain: domains[0], Memory: engineMemory, Slots: overheadSlots, Fenced: true}}
+	raise(&routes, &pools)
+	routes.Routes, pools.Pools = routes.Routes[:2], pools.Pools[:1]
+	change, err := f.operators[0].Put(context.Background(), operator.Pools, "test-pools", 0, encode(t, pools))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.operators[0].Put(context.Background(), operator.Routes, "test-routes", change.Revision, encode(t, routes)); err != nil {
+		t.Fatal(err)
+	}
+	through := newPath(callers, f.issue("yards").Key, "history")
+	f.eventually("host serves", func() bool { return through.run(http.DefaultClient, 1, false, 0) == nil })
+	measureOverhead(t, "inside", newPath(address, "", "inspect-7b"), through)
+}
