caller: send events that arrive together in one write

Each event of a stream was written in three parts and flushed on its own, with buffers allocated for each stream. The host now flushes before it would wait for the endpoint, writes an event in one piece and reuses the buffers.

--- /dev/null
+++ b/caller/relay_test.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRelay guards against events that are changed, crossed or lost, whatever the size of the pieces
+// in which they arrive.
+func TestRelay(t *testing.T) {
+	long := strings.Repeat("x", 3*lineBufBytes)
+	whole := "id: a:1\ndata: one\n\n: comment\n\nid:a:2\r\ndata:" + long + "\r\n\r\nid: a:3\ndata: [DONE]\n\n"
+	passed := "data: one\n\ndata: " + long + "\n\ndata: [DONE]\n\n"
+	for name, test := range map[string]struct {
+		stream, want string
+		err          error
+	}{
+		"whole":   {whole, passed, nil},
+		"cut":     {whole[:len(whole)-1], passed[:strings.LastIndex(passed, "data:")], errCut},
+		"crossed": {"id: b:1\ndata: one\n\n", "", errCrossed},
+		"gap":     {"id: a:1\ndata: one\n\nid: a:3\ndata: three\n\n", "data: one\n\n", errGap},
+		"again":   {"id: a:0\ndata: zero\n\n", "", errCut},
+		"offset":  {"id: a:1x\ndata: one\n\n", "", errGap},
+		"huge":    {"id: a:" + strings.Repeat("9", 30) + "\ndata: one\n\n", "", errGap},
+		"no id":   {"data: one\n\n", "", errCrossed},
+		"endless": {"id: a:1\ndata: " + strings.Repeat("x", 2*maxEventBytes), "", errCut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for _, size := range []int{1, 7, len(test.stream)} {
+				recorder := httptest.NewRecorder()
+				r := &relay{w: recorder, flusher: recorder, attempt: "a", next: firstOffset}
+				c.Assert(r.copy(pieces{strings.NewReader(test.stream), size}), qt.Equals, test.err)
+				c.Assert(recorder.Body.String(), qt.Equals, test.want)
+				c.Assert(r.unsent, qt.IsFalse)
+			}
+		})
+	}
+}
+
+// pieces returns at most size bytes for each read.
+type pieces struct {
+	from io.Reader
+	size int
+}
+
+// Read reads one piece.
+func (p pieces) Read(b []byte) (int, error) { return p.from.Read(b[:min(len(b), p.size)]) }
+
+// TestBodyFor guards against fields of the caller's body that are lost, changed or override the host's.
+func TestBodyFor(t *testing.T) {
+	c := qt.New(t)
+	body := `{"model": "r", "adapter": "mine", "max_tokens": 7, "max_completion_tokens": 9, "prompt": "a\u0022 b",
+		"stream": true, "strange \"na\\me\n\u00e9": [1, {"x": null}]}`
+	parsed, refused := parseCompletion([]byte(body))
+	c.Assert(refused, qt.IsNil)
+	for _, adapter := range []string{"", `an"adapter`} {
+		data, err := parsed.bodyFor("inspect-7b", adapter, 5)
+		c.Assert(err, qt.IsNil)
+		var want, got map[string]any
+		c.Assert(json.Unmarshal([]byte(body), &want), qt.IsNil)
+		want["model"], want["max_tokens"] = "inspect-7b", 5.0
+		delete(want, "max_completion_tokens")
+		delete(want, "adapter")
+		if adapter != "" {
+			want["adapter"] = adapter
+		}
+		c.Assert(json.Unmarshal(data, &got), qt.IsNil, qt.Commentf("%s", data))
+		c.Assert(got, qt.DeepEquals, want)
+	}
+}
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -20,6 +19,9 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// maxOffsetDigits keeps an offset within 64 bits.
+const maxOffsetDigits = 18
+
 // firstOffset is the offset of a stream's first event.
 const firstOffset = 1
 
@@ -46,6 +48,8 @@
 	tokens  int64 // generated, as far as known
 	started bool
 	done    bool
+	unsent  bool   // something is written and not yet sent
+	written []byte // last event that was written, kept for its memory
 }
 
 // stream hands the events of an attempt to the caller, taking up a cut stream where it broke.
@@ -97,19 +101,29 @@
 	return r.attempt + ":" + strconv.FormatInt(r.next-1, 10)
 }
 
-// copy passes events on until the stream is complete or breaks.
+// copy passes events on until the stream is complete or breaks. Before it waits for the endpoint it
+// sends what it has written, so that events which arrive together leave together.
 func (r *relay) copy(body io.Reader) error {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	var id, data []byte
-	for lines.Scan() {
-		line := lines.Bytes()
+	lines := lineReaders.Get().(*lineReader)
+	defer lines.release()
+	lines.reset(body)
+	id, data := lines.id[:0], lines.data[:0]
+	defer func() { lines.id, lines.data = id, data }()
+	for {
+		if !lines.ready() {
+			r.flush()
+		}
+		line, err := lines.next()
+		if err != nil {
+			return errCut
+		}
 		switch {
 		case len(line) == 0:
 			if len(data) == 0 {
 				continue
 			}
 			if err := r.event(id, data); err != nil || r.done {
+				r.flush()
 				return err
 			}
 			id, data = id[:0], data[:0]
@@ -119,7 +133,6 @@
 			data = append(data[:0], bytes.TrimSpace(line[5:])...)
 		}
 	}
-	return errCut
 }
 
 // event checks that an event is the next one of this attempt and passes it on.
@@ -128,8 +141,8 @@
 	if !found || string(attempt) != r.attempt {
 		return errCrossed
 	}
-	at, err := strconv.ParseInt(string(offset), 10, 64)
-	if err != nil || at > r.next {
+	at, known := parseOffset(offset)
+	if !known || at > r.next {
 		return errGap
 	}
 	if at < r.next {
@@ -153,6 +166,22 @@
 	}
 }
 
+// parseOffset reads the offset of an event.
+func parseOffset(text []byte) (int64, bool) {
+	if len(text) == 0 || len(text) > maxOffsetDigits {
+		return 0, false
+	}
+	var n int64
+	for _, digit := range text {
+		if digit < '0' || digit > '9' {
+			return 0, false
+		}
+		n = n*10 + int64(digit-'0')
+	}
+	return n, true
+}
+
+// pass writes an event; flush sends it.
 func (r *relay) pass(data []byte) error {
 	if !r.started {
 		r.started = true
@@ -160,15 +189,20 @@
 		r.w.Header().Set("Cache-Control", "no-cache")
 		r.w.WriteHeader(http.StatusOK)
 	}
-	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
-		if _, err := r.w.Write(part); err != nil {
-			return errCaller
-		}
+	r.written = append(append(append(r.written[:0], "data: "...), data...), "\n\n"...)
+	if _, err := r.w.Write(r.written); err != nil {
+		return errCaller
 	}
-	if r.flusher != nil {
+	r.unsent = true
+	return nil
+}
+
+// flush sends what was written.
+func (r *relay) flush() {
+	if r.unsent && r.flusher != nil {
 		r.flusher.Flush()
 	}
-	return nil
+	r.unsent = false
 }
 
 // fail ends a stream that has begun with an explicit error instead of the mark of completion.
@@ -178,4 +212,5 @@
 		reason = state.Reason(cause)
 	}
 	r.pass(refusalFor(reason, state.RunYes, 0).body())
+	r.flush()
 }
