caller: copy the fields of a completion instead of encoding them again

The body for an endpoint was encoded through a map, which checked and copied every field a second time.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"net/http"
 	"strconv"
 
@@ -21,7 +22,8 @@
 	}
 	key := bearer(r)
 	header := forwardHeader(r.Header, "")
-	if carriesKey(s.backend.View(), key, r.URL, header, body) {
+	// The path is one of two fixed ones, and the query is not passed on.
+	if key != "" && bytes.Contains(body, []byte(key)) || headerCarriesKey(s.backend.View(), key, header) {
 		badRequest("key_in_request", "the key may stand only in the Authorization header").write(w)
 		return
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -8,8 +8,10 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"unicode/utf8"
 
 	"magnoliahoist/account"
 	"magnoliahoist/replica"
@@ -17,9 +19,10 @@
 )
 
 const (
-	bytesPerToken = 4   // of a prompt, for the estimate of its cost
-	prefixBytes   = 512 // of a prompt's beginning, for prefix affinity
-	maxKeyBytes   = 256 // of an idempotency key
+	bytesPerToken = 4        // of a prompt, for the estimate of its cost
+	prefixBytes   = 512      // of a prompt's beginning, for prefix affinity
+	maxKeyBytes   = 256      // of an idempotency key
+	maxBodyAhead  = 64 << 10 // of a body's buffer before any of the body has arrived
 )
 
 // prefixSeed is the same in all requests of a process; affinity needs no agreement between hosts
@@ -49,7 +52,7 @@
 
 // readBody reads a body up to the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Body))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, s.limits.Body), min(r.ContentLength, s.limits.Body, maxBodyAhead))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -62,16 +65,32 @@
 	}
 }
 
+// readAll reads to the end; the size is what is expected, less than 0 when not known.
+func readAll(from io.Reader, size int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Grow(int(max(size, 0)) + bytes.MinRead)
+	_, err := buffer.ReadFrom(from)
+	return buffer.Bytes(), err
+}
+
 // carriesKey reports whether a caller's key stands where it would be passed on to an endpoint.
 func carriesKey(view *replica.View, key string, target *url.URL, header http.Header, body []byte) bool {
 	if key != "" && bytes.Contains(body, []byte(key)) {
 		return true
 	}
+	return headerCarriesKey(view, key, header) || targetCarriesKey(view, key, target)
+}
+
+func headerCarriesKey(view *replica.View, key string, header http.Header) bool {
 	for _, values := range header {
 		if isKey(view, key, values[0]) {
 			return true
 		}
 	}
+	return false
+}
+
+func targetCarriesKey(view *replica.View, key string, target *url.URL) bool {
 	for _, values := range target.Query() {
 		for _, value := range values {
 			if isKey(view, key, value) {
@@ -179,28 +198,50 @@
 	return maphash.Bytes(prefixSeed, c.prompt[:min(len(c.prompt), prefixBytes)])
 }
 
-// bodyFor returns the body for an endpoint: the model as the pool names it, and the bounded number of tokens.
+// bodyFor returns the body for an endpoint: the model as the pool names it, and the bounded number of
+// tokens. The caller's fields are copied as they came; they were checked when the body was parsed.
 func (c completion) bodyFor(model, adapter string, limit int64) ([]byte, error) {
-	encoded, err := json.Marshal(model)
-	if err != nil {
-		return nil, err
+	size := len(model) + len(adapter) + bodyMargin
+	for name, value := range c.fields {
+		size += len(name) + len(value) + fieldMargin
 	}
-	bound, err := json.Marshal(limit)
-	if err != nil {
+	body := append(make([]byte, 0, size), '{')
+	var err error
+	if body, err = appendText(append(body, `"model":`...), model); err != nil {
 		return nil, err
 	}
-	fields := make(map[string]json.RawMessage, len(c.fields)+1)
-	for key, value := range c.fields {
-		fields[key] = value
-	}
-	delete(fields, fieldMaxCompletionTokens)
-	fields[fieldModel] = encoded
-	fields[fieldMaxTokens] = bound
-	delete(fields, fieldAdapter)
+	body = strconv.AppendInt(append(body, `,"max_tokens":`...), limit, 10)
 	if adapter != "" {
-		if fields[fieldAdapter], err = json.Marshal(adapter); err != nil {
+		if body, err = appendText(append(body, `,"adapter":`...), adapter); err != nil {
 			return nil, err
 		}
 	}
-	return json.Marshal(fields)
+	for name, value := range c.fields {
+		switch name {
+		case fieldModel, fieldAdapter, fieldMaxTokens, fieldMaxCompletionTokens:
+			continue
+		}
+		if body, err = appendText(append(body, ','), name); err != nil {
+			return nil, err
+		}
+		body = append(append(body, ':'), value...)
+	}
+	return append(body, '}'), nil
+}
+
+// Sizes with which the body for an endpoint is allocated at once.
+const (
+	bodyMargin  = 96 // bytes, for the fields that the host writes
+	fieldMargin = 4  // bytes, for quotes, colon and comma
+)
+
+// appendText appends a JSON string; names without special characters need no encoder.
+func appendText(body []byte, text string) ([]byte, error) {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c >= utf8.RuneSelf || c == '"' || c == '\\' {
+			encoded, err := json.Marshal(text)
+			return append(body, encoded...), err
+		}
+	}
+	return append(append(append(body, '"'), text...), '"'), nil
 }
--- a/caller/serve.go
+++ b/caller/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"magnoliahoist/call"
 	"magnoliahoist/endpoint"
@@ -28,10 +29,10 @@
 
 // serve drives a request from its arrival to its answer.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, t task) {
-	timed, stop := context.WithTimeoutCause(r.Context(), s.limits.Call, reasonError(state.TimedOut))
-	defer stop()
-	ctx, cancel := context.WithCancelCause(timed)
+	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	timer := time.AfterFunc(s.limits.Call, func() { cancel(reasonError(state.TimedOut)) })
+	defer timer.Stop()
 	w.Header().Set(idHeader, t.name)
 	inbox := s.backend.Open(t.arrive, cancel)
 	defer s.backend.Close(t.id)
