state: bound the messages to other members

Each commit was announced to all members, so that the takeover from one of 400 hosts, about 125 commits, caused 49,875 announcements. One announcement of the latest revision at most twice a second now stands for all commits before it.

Without the table service a host asked all members of its group each time its freshness was half used. It now asks a majority and one eighth to spare, in two turns, and all members only when less than a quarter of the window is left or the group has at most 8. What makes a host fresh is unchanged.

Tests show that a host stays fresh with any majority, and with no minority.

--- a/state/capacity_test.go
+++ b/state/capacity_test.go
@@ -27,8 +27,19 @@
 	revision  int64
 	effects   map[string]int
 	queue     []state.Event
+	dead      map[string]bool // members that do not answer
+	missed    []miss
 }
 
+// miss is an exchange that ends without an answer.
+type miss struct {
+	at     time.Duration
+	member string
+}
+
+// missTime is how long an exchange with a dead member lasts.
+const missTime = 500 * time.Millisecond
+
 // sizes are the numbers of rows and requests.
 type sizes struct{ members, accounts, pools, requests int }
 
@@ -85,6 +96,10 @@
 				f.queue = append(f.queue, state.Learned{Source: replica.FromTable{}, Started: f.now, After: e.After, Rows: table.Snapshot{Revision: f.revision}})
 			}
 		case state.SyncMember:
+			if f.dead[e.Member] {
+				f.missed = append(f.missed, miss{f.now + missTime, e.Member})
+				continue
+			}
 			f.queue = append(f.queue, state.Learned{Source: replica.FromMember{ID: e.Member, TableAge: -1}, Started: f.now, After: e.After, Rows: table.Snapshot{Revision: f.revision}})
 		case state.Announce:
 			f.queue = append(f.queue, state.Acked{Member: e.Member, Revision: f.revision})
@@ -100,6 +115,10 @@
 	for _, event := range queue {
 		f.take(event)
 	}
+	for len(f.missed) > 0 && f.missed[0].at <= f.now {
+		f.take(state.Missed{Member: f.missed[0].member})
+		f.missed = f.missed[1:]
+	}
 	f.take(state.Tick{})
 }
 
--- a/state/follow_test.go
+++ b/state/follow_test.go
@@ -1,6 +1,7 @@
 package state_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,58 @@
 		})
 	}
 }
+
+// TestWitnesses guards against a host of a large group that is not kept fresh by the members that
+// answer, however few more than a majority they are, and against one that a minority keeps fresh.
+func TestWitnesses(t *testing.T) {
+	for name, test := range map[string]struct {
+		members, dead int
+		fresh         bool
+	}{
+		"small":           {5, 2, true},
+		"small minority":  {5, 3, false},
+		"large":           {133, 0, true},
+		"large few":       {133, 20, true},
+		"large majority":  {133, 66, true},
+		"large minority":  {133, 67, false},
+		"medium majority": {20, 9, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(sizes{members: test.members, accounts: 1, pools: 1})
+			f.tableDown = true
+			f.pass(5 * time.Second)
+			c.Assert(f.Replica().Fresh(f.now), qt.IsTrue)
+			f.dead = map[string]bool{}
+			for i := range test.dead {
+				f.dead[fmt.Sprintf("host-%05d", i+1)] = true
+			}
+			f.pass(5 * time.Second)
+			for range 500 {
+				f.step()
+				c.Assert(f.Replica().Fresh(f.now), qt.Equals, test.fresh)
+			}
+			f.dead = nil
+			f.pass(3 * time.Second)
+			c.Assert(f.Replica().Fresh(f.now), qt.IsTrue)
+		})
+	}
+}
+
+// TestAnnounced guards against a change that is not announced because another one just was.
+func TestAnnounced(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(sizes{members: 30, accounts: 1, pools: 1})
+	for last := int64(1 << 20); last < 1<<20+3; last++ {
+		f.take(state.Committed{Key: "row", Result: table.Result{Committed: true, Revision: last}})
+		told := map[string]bool{}
+		for end := f.now + time.Second; f.now < end; f.now += tick {
+			for _, effect := range f.Apply(f.now, state.Tick{}) {
+				if e, announce := effect.(state.Announce); announce && e.Revision == last {
+					told[e.Member] = true
+				}
+			}
+		}
+		c.Assert(len(told), qt.Equals, 29)
+	}
+}
--- a/state/sync.go
+++ b/state/sync.go
@@ -6,21 +6,33 @@
 	"magnoliahoist/endpoint"
 	"magnoliahoist/pool"
 	"magnoliahoist/queue"
+	"magnoliahoist/replica"
 )
 
 // memberPoll is the time between two exchanges with members while the table service is out of reach.
 const memberPoll = 500 * time.Millisecond
 
+// Bounds of the exchanges that keep a host fresh while the table service is out of reach. With all of
+// 133 members asked each time, they took five times the messages that a host may spend on control.
+const (
+	smallGroup     = 8 // members that are asked all at once
+	spareWitnesses = 8 // one more witness for so many members, for those that fail between two turns
+	endingShare    = 4 // share of the window below which all members are asked
+	witnessRounds  = 2 // turns after which every witness was asked; both fit into half of the window
+)
+
 // syncState says when the host last tried to learn of changes.
 type syncState struct {
 	read    time.Duration // last read of the table service
 	members time.Duration // last exchange with the members
+	turn    int           // place among the witnesses at which the next turn begins
 	began   bool
 }
 
 // tick refuses what has waited too long, ends what may not go on, and keeps the copy of the shared state current.
 func (s *State) tick(now time.Duration) {
 	s.exchange(now)
+	s.announce(now)
 	s.watchMembers(now)
 	s.followHoldings(now)
 	if !s.replica.Fresh(now) {
@@ -48,11 +60,49 @@
 		return
 	}
 	s.sync.members = now
-	for _, member := range s.replica.View().Members() {
-		if member.ID != s.settings.Host && member.Group == s.settings.Group {
-			s.emit(SyncMember{Member: member.ID, Address: member.Address, After: s.replica.View().Revision()})
+	for _, member := range s.sync.next(s.witnesses(now)) {
+		s.emit(SyncMember{Member: member.ID, Address: member.Address, After: s.replica.View().Revision()})
+	}
+}
+
+// witnesses returns the other members of the group with which the host stays fresh: a majority of the
+// group and some to spare, in the order of ids after its own, those that answer first. Those that do
+// not answer are among them only when the others do not suffice, and all are when freshness is ending.
+func (s *State) witnesses(now time.Duration) []replica.Member {
+	var answering, silent []replica.Member
+	members := s.following()
+	size := 1
+	for _, member := range members {
+		if member.Group != s.settings.Group {
+			continue
+		}
+		size++
+		if _, missed := s.silent[member.ID]; missed {
+			silent = append(silent, member)
+			continue
 		}
+		answering = append(answering, member)
 	}
+	list := append(answering, silent...)
+	if s.replica.FreshUntil()-now < s.settings.Window/endingShare {
+		return list
+	}
+	need := max(size/2+1+size/spareWitnesses, smallGroup)
+	return list[:min(need, len(list))]
+}
+
+// next returns the witnesses to ask now. Small groups are asked as a whole, larger ones in turns.
+func (s *syncState) next(witnesses []replica.Member) []replica.Member {
+	if len(witnesses) <= smallGroup {
+		return witnesses
+	}
+	n := (len(witnesses) + witnessRounds - 1) / witnessRounds
+	list := make([]replica.Member, 0, n)
+	for i := range n {
+		list = append(list, witnesses[(s.turn+i)%len(witnesses)])
+	}
+	s.turn = (s.turn + n) % len(witnesses)
+	return list
 }
 
 // expire refuses a request that has waited for its longest time.
--- a/state/takeover.go
+++ b/state/takeover.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +15,9 @@
 	// watched is how many members a host watches: those that follow it in the order of ids. Watching
 	// all of 400 hosts would take more messages than a host may spend on control.
 	watched = 8
+	// announcePeriod is the time between two announcements to all members; it is small against the
+	// 10 s within which a change is in force.
+	announcePeriod = 500 * time.Millisecond
 	// holdPeriod is the time between two looks at takeovers that wait.
 	holdPeriod = 200 * time.Millisecond
 )
@@ -70,7 +72,10 @@
 	replaced map[string]bool
 	busy     map[string]time.Duration // keys whose commit is under way, since when
 	current  bool                     // the shares are set for the rows as they are, and no takeover waits
-	idle     bool                     // the rows as they are need no takeover while all holders answer
+	// unannounced is the latest change that members have not been told of, 0 for none.
+	unannounced int64
+	announced   time.Duration // last announcement to all members
+	idle        bool          // the rows as they are need no takeover while all holders answer
 }
 
 // commitPatience is how long the outcome of a commit may be unknown before it is planned anew; the
@@ -129,21 +134,25 @@
 	return len(s.silent) == 0 && len(s.takeover.replaced) == 0
 }
 
-// followers returns the members that come after this host in the order of ids, around the end.
-func (s *State) followers() []replica.Member {
-	members := slices.Clone(s.replica.View().Members())
-	sort.Slice(members, func(a, b int) bool { return members[a].ID < members[b].ID })
+// following returns the other members in the order of ids after this host's, around the end.
+func (s *State) following() []replica.Member {
+	members := s.replica.View().Members()
 	at := sort.Search(len(members), func(i int) bool { return members[i].ID > s.settings.Host })
-	var list []replica.Member
+	list := make([]replica.Member, 0, len(members))
 	for i := range members {
-		member := members[(at+i)%len(members)]
-		if member.ID != s.settings.Host && len(list) < watched {
+		if member := members[(at+i)%len(members)]; member.ID != s.settings.Host {
 			list = append(list, member)
 		}
 	}
 	return list
 }
 
+// followers returns the members that this host watches.
+func (s *State) followers() []replica.Member {
+	list := s.following()
+	return list[:min(watched, len(list))]
+}
+
 func (s *State) status(now time.Duration) lease.Status {
 	hosts := s.takeover.hosts
 	age := time.Duration(-1)
@@ -169,17 +178,26 @@
 	s.emit(Commit{Key: key, Txn: txn})
 }
 
-// committed announces a change, so that it is accepted soon.
+// committed has a change announced at the next tick, so that it is accepted soon.
 func (s *State) committed(e Committed) {
 	delete(s.takeover.busy, e.Key)
-	if !e.Result.Committed {
+	if e.Result.Committed {
+		s.takeover.unannounced = max(s.takeover.unannounced, e.Result.Revision)
+	}
+}
+
+// announce tells all members of the latest change of this host. One announcement stands for all
+// changes up to its revision: the takeover from one of 400 hosts commits more than a hundred.
+func (s *State) announce(now time.Duration) {
+	if s.takeover.unannounced == 0 || s.takeover.announced > 0 && now-s.takeover.announced < announcePeriod {
 		return
 	}
 	for _, member := range s.replica.View().Members() {
 		if member.ID != s.settings.Host {
-			s.emit(Announce{Member: member.ID, Address: member.Address, Revision: e.Result.Revision})
+			s.emit(Announce{Member: member.ID, Address: member.Address, Revision: s.takeover.unannounced})
 		}
 	}
+	s.takeover.unannounced, s.takeover.announced = 0, now
 }
 
 // followHoldings takes up what the host may use now.
