caller: revert the connections of its own towards endpoints

Cause: 350 lines repeat what net/http does for connections, and the project looks for no further transports.

--- a/caller/sender.go
+++ b/caller/sender.go
@@ -16,9 +16,6 @@
 	idleTimeout      = 60 * time.Second
 	idlePerEndpoint  = 512
 	responseBufBytes = 16 << 10
-	// largeBody is the size of a request's body above which it may not fit into the buffers of the
-	// connection, so that writing it could wait for an endpoint that has answered already.
-	largeBody = 64 << 10
 )
 
 // outgoing is a request for an endpoint.
@@ -32,14 +29,13 @@
 
 // sender sends attempts to endpoints.
 type sender struct {
-	connections *connections    // for most calls
-	large       *http.Transport // for large bodies, which an endpoint may answer before it has read them
-	single      *http.Transport // a new connection for each call
+	kept   *http.Transport // keeps connections
+	single *http.Transport // a new connection for each call
 }
 
 func newSender() *sender {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	large := &http.Transport{
+	kept := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: idlePerEndpoint,
@@ -50,34 +46,11 @@
 	// A kept connection may have been closed by the endpoint just now; whether a call that
 	// was written to it has run could not be told.
 	single := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &sender{connections: newConnections(dialer.DialContext), large: large, single: single}
+	return &sender{kept: kept, single: single}
 }
 
-// send sends one attempt. Sent reports whether any byte of it may have left. Nothing is sent twice.
+// send sends one attempt. Sent reports whether any byte of it may have left.
 func (s *sender) send(ctx context.Context, address, attempt, resume string, out outgoing) (*http.Response, bool, error) {
-	if out.once {
-		return s.roundTrip(ctx, s.single, address, attempt, resume, out)
-	}
-	if len(out.body) > largeBody {
-		return s.roundTrip(ctx, s.large, address, attempt, resume, out)
-	}
-	c, err := s.connections.get(ctx, address)
-	if err != nil {
-		return nil, false, err
-	}
-	if c.head, err = appendHead(c.head[:0], address, attempt, resume, out); err != nil {
-		c.net.Close()
-		return nil, false, err
-	}
-	response, err := c.exchange(ctx, out.method, out.body, func(c *connection) { s.connections.put(address, c) })
-	if err != nil {
-		c.net.Close()
-	}
-	return response, true, err
-}
-
-// roundTrip sends one attempt by a transport.
-func (s *sender) roundTrip(ctx context.Context, transport *http.Transport, address, attempt, resume string, out outgoing) (*http.Response, bool, error) {
 	sent := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), out.method, "http://"+address+out.target, nil)
@@ -97,6 +70,10 @@
 	if resume != "" {
 		request.Header["Last-Event-Id"] = []string{resume}
 	}
+	transport := s.kept
+	if out.once {
+		transport = s.single
+	}
 	response, err := transport.RoundTrip(request)
 	return response, sent, err
 }
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -57,9 +57,6 @@
 	flusher, _ := w.(http.Flusher)
 	relay := &relay{w: w, flusher: flusher, attempt: id, next: firstOffset}
 	err := relay.copy(response.Body)
-	if relay.done {
-		complete(response.Body)
-	}
 	for resumes := 0; errors.Is(err, errCut) && ctx.Err() == nil && resumes < maxResumes; resumes++ {
 		err = s.resume(ctx, relay, send, id, out)
 	}
@@ -89,11 +86,7 @@
 	if response.StatusCode != http.StatusOK || response.Header.Get(idHeader) != id || !isStream(response) {
 		return errCrossed
 	}
-	err = relay.copy(response.Body)
-	if relay.done {
-		complete(response.Body)
-	}
-	return err
+	return relay.copy(response.Body)
 }
 
 // last is the id of the last event that passed; offset 0 asks for all.
