--- a/caller/request.go
+++ b/caller/request.go
@@ -8,8 +8,10 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"unicode/utf8"
 
 	"magnoliahoist/account"
 	"magnoliahoist/replica"
@@ -17,9 +19,10 @@
 )
 
 const (
-	bytesPerToken = 4   // of a prompt, for the estimate of its cost
-	prefixBytes   = 512 // of a prompt's beginning, for prefix affinity
-	maxKeyBytes   = 256 // of an idempotency key
+	bytesPerToken = 4        // of a prompt, for the estimate of its cost
+	prefixBytes   = 512      // of a prompt's beginning, for prefix affinity
+	maxKeyBytes   = 256      // of an idempotency key
+	maxBodyAhead  = 64 << 10 // of a body's buffer before any of the body has arrived
 )
 
 // prefixSeed is the same in all requests of a process; affinity needs no agreement between hosts
@@ -49,7 +52,8 @@
 
 // readBody reads a body up to the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.limits.Load().Body))
+	limit := s.limits.Load().Body
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit, maxBodyAhead))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -62,16 +66,32 @@
 	}
 }
 
+// readAll reads to the end; the size is what is expected, less than 0 when not known.
+func readAll(from io.Reader, size int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Grow(int(max(size, 0)) + bytes.MinRead)
+	_, err := buffer.ReadFrom(from)
+	return buffer.Bytes(), err
+}
+
 // carriesKey reports whether a caller's key stands where it would be passed on to an endpoint.
 func carriesKey(view *replica.View, key string, target *url.URL, header http.Header, body []byte) bool {
 	if key != "" && bytes.Contains(body, []byte(key)) {
 		return true
 	}
+	return headerCarriesKey(view, key, header) || targetCarriesKey(view, key, target)
+}
+
+func headerCarriesKey(view *replica.View, key string, header http.Header) bool {
 	for _, values := range header {
 		if isKey(view, key, values[0]) {
 			return true
 		}
 	}
+	return false
+}
+
+func targetCarriesKey(view *replica.View, key string, target *url.URL) bool {
 	for _, values := range target.Query() {
 		for _, value := range values {
 			if isKey(view, key, value) {
@@ -132,17 +152,56 @@
 	if err := json.Unmarshal(c.fields[fieldModel], &c.model); err != nil || c.model == "" {
 		return c, malformed("model must be the name of a route")
 	}
+	if refused := c.checkNames(); refused != nil {
+		return c, refused
+	}
 	if refused := c.readOptions(); refused != nil {
 		return c, refused
 	}
+	return c, c.readPrompt()
+}
+
+// fieldNames are the fields that the host reads or writes.
+var fieldNames = []string{fieldModel, fieldAdapter, fieldStream, fieldMaxTokens, fieldMaxCompletionTokens,
+	fieldPrompt, fieldMessages, fieldChoices, fieldBestOf}
+
+// checkNames refuses fields that an endpoint which ignores case would take for one that the host has
+// checked or written, so that a call got past its bound of tokens or its adapter.
+func (c *completion) checkNames() *refusal {
+	for field := range c.fields {
+		for _, name := range fieldNames {
+			if field != name && strings.EqualFold(field, name) {
+				return malformed("the field " + name + " must be written in lower case")
+			}
+		}
+	}
+	return nil
+}
+
+// readPrompt reads the one prompt. An endpoint answers each of several prompts with the full number of
+// tokens, and reads prompt or messages by the path, so that more than one would pass uncounted.
+func (c *completion) readPrompt() *refusal {
+	messages := c.fields[fieldMessages]
 	c.prompt = c.fields[fieldPrompt]
-	if messages := c.fields[fieldMessages]; len(messages) > 0 {
+	switch {
+	case len(messages) > 0 && len(c.prompt) > 0:
+		return malformed("prompt and messages must not both be given")
+	case len(messages) > 0:
 		c.prompt = messages
+		return nil
+	case len(c.prompt) == 0:
+		return malformed("prompt or messages is required")
+	}
+	var list []json.RawMessage
+	if json.Unmarshal(c.prompt, &list) != nil || len(list) < 2 {
+		return nil
 	}
-	if len(c.prompt) == 0 {
-		return c, malformed("prompt or messages is required")
+	for _, entry := range list {
+		if entry[0] == '"' || entry[0] == '[' {
+			return malformed("prompt must be a single prompt")
+		}
 	}
-	return c, nil
+	return nil
 }
 
 // readFields are the fields that the host reads or writes.
@@ -201,28 +260,50 @@
 	return maphash.Bytes(prefixSeed, c.prompt[:min(len(c.prompt), prefixBytes)])
 }
 
-// bodyFor returns the body for an endpoint: the model as the pool names it, and the bounded number of tokens.
+// bodyFor returns the body for an endpoint: the model as the pool names it, and the bounded number of
+// tokens. The caller's fields are copied as they came; they were checked when the body was parsed.
 func (c completion) bodyFor(model, adapter string, limit int64) ([]byte, error) {
-	encoded, err := json.Marshal(model)
-	if err != nil {
-		return nil, err
+	size := len(model) + len(adapter) + bodyMargin
+	for name, value := range c.fields {
+		size += len(name) + len(value) + fieldMargin
 	}
-	bound, err := json.Marshal(limit)
-	if err != nil {
+	body := append(make([]byte, 0, size), '{')
+	var err error
+	if body, err = appendText(append(body, `"model":`...), model); err != nil {
 		return nil, err
 	}
-	fields := make(map[string]json.RawMessage, len(c.fields)+1)
-	for key, value := range c.fields {
-		fields[key] = value
-	}
-	delete(fields, fieldMaxCompletionTokens)
-	fields[fieldModel] = encoded
-	fields[fieldMaxTokens] = bound
-	delete(fields, fieldAdapter)
+	body = strconv.AppendInt(append(body, `,"max_tokens":`...), limit, 10)
 	if adapter != "" {
-		if fields[fieldAdapter], err = json.Marshal(adapter); err != nil {
+		if body, err = appendText(append(body, `,"adapter":`...), adapter); err != nil {
+			return nil, err
+		}
+	}
+	for name, value := range c.fields {
+		switch name {
+		case fieldModel, fieldAdapter, fieldMaxTokens, fieldMaxCompletionTokens:
+			continue
+		}
+		if body, err = appendText(append(body, ','), name); err != nil {
 			return nil, err
 		}
+		body = append(append(body, ':'), value...)
+	}
+	return append(body, '}'), nil
+}
+
+// Sizes with which the body for an endpoint is allocated at once.
+const (
+	bodyMargin  = 96 // bytes, for the fields that the host writes
+	fieldMargin = 4  // bytes, for quotes, colon and comma
+)
+
+// appendText appends a JSON string; names without special characters need no encoder.
+func appendText(body []byte, text string) ([]byte, error) {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c >= utf8.RuneSelf || c == '"' || c == '\\' {
+			encoded, err := json.Marshal(text)
+			return append(body, encoded...), err
+		}
 	}
-	return json.Marshal(fields)
+	return append(append(append(body, '"'), text...), '"'), nil
 }
--- a/state/allowance.go
+++ b/state/allowance.go
@@ -19,6 +19,10 @@
 // sweepPeriod is the time between two returns of loans that have ended; tokens are missing at the lender until then.
 const sweepPeriod = 100 * time.Millisecond
 
+// fastClock is how much faster than real time a host's monotonic clock may run; the clock discipline of the
+// operating system slews by at most 0.05 %. A bucket that earned by a fast clock would exceed the rate.
+const fastClock = 0.001
+
 // roundingSlack keeps a sum of parts that is 1 up to rounding from losing a token.
 const roundingSlack = 1e-9
 
@@ -41,7 +45,8 @@
 	return false
 }
 
-// borrow asks the other holders of an account's allowance for equal parts of what is missing.
+// borrow asks every other holder of an account's allowance for all that is missing, because nobody knows
+// which of them has tokens; what is too much goes back at the end of the round.
 func (s *State) borrow(now time.Duration, r *request, a *accountState, missing int64) {
 	if a.borrow.pending > 0 || now < a.borrow.next {
 		return
@@ -50,7 +55,6 @@
 	if len(lenders) == 0 {
 		return
 	}
-	each := (missing + int64(len(lenders)) - 1) / int64(len(lenders))
 	a.borrow = borrowState{pending: len(lenders), missing: missing}
 	for _, lender := range lenders {
 		s.loans++
@@ -59,7 +63,7 @@
 			Loan:    s.settings.Host + "-" + strconv.FormatUint(s.loans, 36),
 			Lender:  lender.ID,
 			Address: lender.Address,
-			Tokens:  each,
+			Tokens:  missing,
 			Asked:   now,
 		})
 	}
@@ -101,6 +105,15 @@
 		a.borrow.next = now + s.borrowPause(e.Account, a.borrow.missing-a.borrow.got)
 	}
 	s.dispatchAll(now)
+	if a.borrow.pending == 0 {
+		s.repayAll(e.Account, a.ledger.GiveUp(now))
+	}
+}
+
+func (s *State) repayAll(name string, repayments []limit.Repayment) {
+	for _, repayment := range repayments {
+		s.repay(name, repayment)
+	}
 }
 
 // borrowPause is the time in which the fleet earns the tokens that are missing, within bounds.
@@ -180,7 +193,7 @@
 			s.accounts[owner.Name] = a
 		}
 		part, burst := s.partOf(now, owner)
-		a.ledger.SetShare(now, owner.Rate*part, burst)
+		a.ledger.SetShare(now, owner.Rate*part*(1-fastClock), burst)
 	}
 	for name, a := range s.accounts {
 		if !seen[name] {
