--- a/host/leases.go
+++ b/host/leases.go
@@ -48,6 +48,9 @@
 		entry, known := view.PoolByName(name)
 		row, found := view.LeaseOf(name)
 		if known && isModelPool(entry) && found && row.Holder == h.id && row.Number == m.number {
+			if !m.usable() {
+				m.pause()
+			}
 			continue
 		}
 		m.stop()
--- a/host/manager.go
+++ b/host/manager.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"magnoliahoist/order"
 	"magnoliahoist/placement"
 	"magnoliahoist/pool"
@@ -16,6 +19,9 @@
 // observePeriod is the time between two reads of every endpoint's load.
 const observePeriod = time.Second
 
+// errNoLease says that the lease was lost before an order left the host.
+var errNoLease = errors.New("host: lease may not be used")
+
 // manager manages the endpoints of one pool under one number of its lease. It is kept while the
 // lease's row shows this number, since a second manager under it would use sequence numbers again.
 type manager struct {
@@ -35,7 +41,9 @@
 	sequence   int64 // used by an earlier takeover under the same number
 	sends      sync.WaitGroup
 
-	mu        sync.Mutex // guards what follows; it may be held when Host.mu is taken
+	mu        sync.Mutex      // guards what follows; it may be held when Host.mu is taken
+	sending   context.Context // of requests with orders; ends when the lease may not be used
+	endSends  context.CancelFunc
 	placement *placement.Manager
 	loads     []state.Load
 	demands   map[string]hostDemand // by member id
@@ -46,15 +54,32 @@
 		host:     h,
 		pool:     pool,
 		number:   number,
-		client:   &http.Client{Transport: platformTransport()},
 		observed: make(chan struct{}, 1),
 		demands:  map[string]hostDemand{},
 	}
+	m.client = &http.Client{Transport: m.transport()}
 	m.driver = order.New(h.table, m.client, pool, number)
 	m.ctx, m.cancel = context.WithCancel(h.tomb.Context(context.Background()))
+	m.sending, m.endSends = context.WithCancel(m.ctx)
 	return m
 }
 
+// transport returns a transport that checks the lease again after a connection was opened, since
+// that may take long.
+func (m *manager) transport() *http.Transport {
+	transport := platformTransport()
+	dialer := &net.Dialer{Timeout: platformTimeout}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err == nil && !m.usable() {
+			connection.Close()
+			return nil, errNoLease
+		}
+		return connection, err
+	}
+	return transport
+}
+
 // start runs the manager until stop.
 func (m *manager) start() {
 	m.host.run(func(context.Context) { m.observe() })
@@ -67,6 +92,14 @@
 	m.client.CloseIdleConnections()
 }
 
+// pause ends running requests with orders while the lease may not be used.
+func (m *manager) pause() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endSends()
+	m.sending, m.endSends = context.WithCancel(m.ctx)
+}
+
 // usable reports whether the lease may be used now, under the manager's number. It is asked
 // immediately before each order is sent.
 func (m *manager) usable() bool {
--- a/host/orders.go
+++ b/host/orders.go
@@ -120,13 +120,14 @@
 
 // send sends one recorded order, if the lease may be used at this moment.
 func (m *manager) send(address string, o placement.Order) {
-	ctx, cancel := context.WithTimeout(m.ctx, orderTimeout)
-	defer cancel()
 	m.recordOrder(timeline.Ordered, o)
-	if !m.begin(o) {
+	sending, usable := m.begin(o)
+	if !usable {
 		m.recordOrder(timeline.Lost, o)
 		return
 	}
+	ctx, cancel := context.WithTimeout(sending, orderTimeout)
+	defer cancel()
 	result, err := m.driver.Send(ctx, address, o)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -148,16 +149,17 @@
 	}
 }
 
-// begin notes that the order's request starts now; it returns false when the lease may not be used.
-func (m *manager) begin(o placement.Order) bool {
+// begin notes that the order's request starts now and returns the context for it; it returns false
+// when the lease may not be used.
+func (m *manager) begin(o placement.Order) (context.Context, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.usable() {
 		m.placement.Unsent(m.host.Now(), o.ID)
-		return false
+		return nil, false
 	}
 	m.placement.Sent(m.host.Now(), o.ID)
-	return true
+	return m.sending, true
 }
 
 func (m *manager) recordOrder(kind timeline.Kind, o placement.Order) {
--- a/system/placement_test.go
+++ b/system/placement_test.go
@@ -20,6 +20,7 @@
 	"magnoliahoist/replica"
 	"magnoliahoist/route"
 	"magnoliahoist/table"
+	"magnoliahoist/timeline"
 )
 
 // twoModels adds a second model with an adapter and its route, so that a new version of both does not
@@ -137,6 +138,25 @@
 	f.checkMemory()
 	text := f.metrics(0) + f.metrics(1) + f.metrics(2)
 	qt.Assert(t, text, qt.Contains, `magnoliahoist_moves_total{pool="inspection"}`)
+	var events strings.Builder
+	qt.Assert(t, f.operators[0].Timeline(context.Background(), timeline.Filter{}, "json", &events), qt.IsNil)
+	for _, kind := range []string{`"taken"`, `"ordered"`, `"confirmed"`} {
+		qt.Assert(t, events.String(), qt.Contains, kind)
+	}
+}
+
+// Guards against demand that the lease holder does not learn of: calls at another host must add a replica.
+func TestDemandAddsReplica(t *testing.T) {
+	f := newFleet(t, layout{hosts: 2, engine: quick, fenced: []bool{true, true}, empty: true, edit: twoModels(1),
+		host: func(_ int, settings hostSettings) { settings["placement"] = map[string]any{"replica": 100} }})
+	f.eventually("hosts serve", func() bool { return f.serves(0) && f.serves(1) })
+	qt.Assert(t, f.holds(0, "inspect-7b", "1") && f.holds(1, "inspect-7b", "1"), qt.IsFalse)
+	holder, _ := f.lease("inspection")
+	f.eventually("a replica is added", func() bool {
+		f.chat(1-holder, f.keys["yards"], "demand", 100)
+		return f.holds(0, "inspect-7b", "1") && f.holds(1, "inspect-7b", "1")
+	})
+	f.checkMemory()
 }
 
 // metrics returns the metrics of a host.
