--- /dev/null
+++ b/system/drain_test.go
@@ -0,0 +1,134 @@
+package system_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/dev"
+	"magnoliahoist/document"
+	"magnoliahoist/fault"
+	"magnoliahoist/operator"
+)
+
+// Guards against a planned stop that cuts off streams, chats or stamps, that keeps its part of an
+// allowance or its member row, or that refuses other than as not run.
+func TestProvePlannedStop(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 4, engine: dev.Options{Slots: 64, Token: document.Duration(20 * time.Millisecond)}, fenced: []bool{true, true}})
+	setFaults(t, fault.Faults{Slow: document.Duration(1500 * time.Millisecond)}, f.services...)
+	stops := []func(host int){
+		func(host int) { f.hosts[host].signal(syscall.SIGTERM) },
+		func(host int) { c.Check(f.operators[host].Drain(context.Background()), qt.IsNil) },
+	}
+	for round, stop := range stops {
+		host := 3 - round
+		const running = 4
+		streams := make([]<-chan string, running)
+		for i := range streams {
+			lines, cancel := f.openStream(host, f.keys["yards"], fmt.Sprintf("stream %d", i), 200)
+			defer cancel()
+			streams[i] = lines
+		}
+		chats, stamps := make([]answer, running), make([]answer, running)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			together(2*running, func(i int) {
+				if i < running {
+					chats[i] = f.chat(host, f.keys["yards"], fmt.Sprintf("chat %d", i), 150)
+				} else {
+					stamps[i-running] = f.stamp(host, fmt.Sprintf("drain-%d-%d", round, i-running), "{}")
+				}
+			})
+		}()
+		time.Sleep(300 * time.Millisecond)
+		stop(host)
+		c.Check(f.chat(host, f.keys["yards"], "within the lag", 2).status, qt.Equals, http.StatusOK)
+		health, err := f.operators[host].Health(context.Background())
+		c.Check(err, qt.IsNil)
+		c.Check(health.State, qt.Equals, operator.Draining)
+		time.Sleep(time.Second) // beyond the lag of 500 ms
+		refused := f.chat(host, f.keys["yards"], "after the lag", 2)
+		c.Check(refused.status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%+v", refused))
+		c.Check(refused.run, qt.Equals, "no")
+		<-done
+		for i := range running {
+			body := f.rest(streams[i])
+			got, complete := streamText(body)
+			c.Check(complete, qt.IsTrue, qt.Commentf("%s", body))
+			c.Check(got, qt.Equals, want(fmt.Sprintf("stream %d", i), 200))
+			c.Check(text(chats[i].body), qt.Equals, want(fmt.Sprintf("chat %d", i), 150), qt.Commentf("%+v", chats[i]))
+			c.Check(stamps[i].status, qt.Equals, http.StatusOK, qt.Commentf("%+v", stamps[i]))
+			c.Check(f.executions(fmt.Sprintf("drain-%d-%d", round, i)), qt.Equals, 1)
+		}
+		select {
+		case <-f.hosts[host].done:
+			c.Check(f.hosts[host].err, qt.IsNil)
+		case <-time.After(settle):
+			c.Fatal("the host did not stop")
+		}
+		f.hosts, f.operators = f.hosts[:host], f.operators[:host]
+		f.awaitMembers(c, len(f.hosts), 3*time.Second)
+	}
+	// The share of the host that left starts empty elsewhere and has grown after burst / rate.
+	setFaults(t, fault.Faults{}, f.services...)
+	time.Sleep(time.Duration(smallBurst/smallRate*float64(time.Second)) + 5*time.Second)
+	began := time.Now()
+	answers := make([]answer, 4)
+	together(len(answers), func(i int) {
+		answers[i] = f.chat(i%len(f.hosts), f.keys["small"], fmt.Sprintf("burst %d", i), 400)
+	})
+	for _, a := range answers {
+		c.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", a))
+	}
+	records := f.served(began)
+	c.Assert(len(records), qt.Equals, len(answers))
+	c.Assert(time.Duration(records[len(records)-1].Started-records[0].Started) < 2*time.Second, qt.IsTrue)
+}
+
+// awaitMembers waits until every host knows a number of members.
+func (f *fleet) awaitMembers(c *qt.C, count int, limit time.Duration) {
+	c.Helper()
+	began := time.Now()
+	for host := range f.hosts {
+		for {
+			status, err := f.operators[host].Status(context.Background())
+			if err == nil && len(status.Members) == count {
+				break
+			}
+			if time.Since(began) > limit {
+				c.Fatalf("host %d knows %d members, want %d", host, len(status.Members), count)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// Guards against a planned stop that waits for the table service or cuts off requests while it is down.
+func TestProvePlannedStopTableDown(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 3, engine: slow, fenced: []bool{true}})
+	lines, cancel := f.openStream(2, f.keys["yards"], "down", 150)
+	defer cancel()
+	setFaults(t, fault.Faults{Down: true}, f.table)
+	f.hosts[2].signal(syscall.SIGTERM)
+	got, complete := streamText(f.rest(lines))
+	c.Assert(complete, qt.IsTrue)
+	c.Assert(got, qt.Equals, want("down", 150))
+	select {
+	case <-f.hosts[2].done:
+	case <-time.After(settle):
+		c.Fatal("the host did not stop")
+	}
+	for host := range 2 {
+		c.Check(f.chat(host, f.keys["yards"], "others serve", 2).status, qt.Equals, http.StatusOK)
+	}
+}
--- /dev/null
+++ b/system/leaving_test.go
@@ -0,0 +1,94 @@
+package system_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/fakehosts"
+	"magnoliahoist/fault"
+)
+
+// leavingWithin is the time after which a leaving endpoint gets no new work.
+const leavingWithin = 3 * time.Second
+
+// putHosts replaces the platform's host list.
+func (f *fleet) putHosts(list []fakehosts.Host) {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.list.address()+"/v1/hosts", bytes.NewReader(encode(f.t, list)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		f.t.Fatalf("host list: %s", response.Status)
+	}
+}
+
+// Guards against new work for an endpoint that the host list says is leaving, also when the list goes
+// stale, goes down or is read by a host that starts later.
+func TestProveLeavingEndpoint(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	l := layout{hosts: 3, engine: quick, fenced: []bool{true, true}}
+	f := newFleet(t, l)
+	list := []fakehosts.Host{
+		{Name: "engine-0", Address: f.engines[0].address(), State: fakehosts.Leaving},
+		{Name: "engine-1", Address: f.engines[1].address(), State: fakehosts.Live},
+		{Name: "service-0", Address: f.services[0].address(), State: fakehosts.Leaving},
+		{Name: "service-1", Address: f.services[1].address(), State: fakehosts.Live},
+	}
+	work := func(name string) {
+		together(12, func(i int) {
+			host := i % len(f.hosts)
+			a := f.chat(host, f.keys["yards"], fmt.Sprintf("%s %d", name, i), 3)
+			c.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", a))
+			stamp := f.stamp(host, fmt.Sprintf("%s-%d", name, i), "{}")
+			c.Check(stamp.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", stamp))
+		})
+	}
+	idle := func(name string) {
+		c.Helper()
+		before := f.callsAt(0)
+		work(name)
+		c.Check(f.callsAt(0), qt.Equals, before, qt.Commentf("%s", name))
+	}
+	work("before")
+	c.Assert(f.callsAt(0) > 0, qt.IsTrue)
+	f.putHosts(list)
+	time.Sleep(leavingWithin)
+	idle("leaving")
+	setFaults(t, fault.Faults{Stale: true}, f.list)
+	idle("stale")
+	f.addHost(l, 3)
+	f.eventually("the new host serves", func() bool { return f.chat(3, f.keys["yards"], "new", 1).status == http.StatusOK })
+	time.Sleep(leavingWithin)
+	idle("new host")
+	setFaults(t, fault.Faults{Down: true}, f.list)
+	time.Sleep(leavingWithin)
+	idle("down")
+	setFaults(t, fault.Faults{}, f.list)
+	list[0].State, list[2].State = fakehosts.Live, fakehosts.Live
+	f.putHosts(list)
+	time.Sleep(leavingWithin)
+	before := f.callsAt(0)
+	work("back")
+	c.Assert(f.callsAt(0) > before, qt.IsTrue)
+}
+
+// callsAt returns the work that the engine and the service with a number got.
+func (f *fleet) callsAt(number int) int {
+	f.t.Helper()
+	var requests, headers []any
+	get(f.t, f.engines[number].address(), "/debug/requests", &requests)
+	get(f.t, f.services[number].address(), "/debug/headers", &headers)
+	return len(requests) + len(headers)
+}
