limit, state: ask every lender for all that is missing, release a round that fails

Cause: each round asked all lenders for equal parts, so it failed when one had less than its part although the others had enough; several hosts then each kept too few tokens for a request until the loans ended. Change: every lender is asked for all that is missing; when the round still brings too little, its loans are given back before the pause.

--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -150,6 +150,19 @@
 	return out
 }
 
+// Release gives back what is unspent of borrowed loans, so that it does not lie idle until they end.
+func (l *Ledger) Release(now time.Duration) []Repayment {
+	l.settle(now)
+	var out []Repayment
+	for _, loan := range l.borrowed {
+		if left := loan.live(l.now); left > 0 {
+			loan.left = 0
+			out = append(out, loan.giveBack(left))
+		}
+	}
+	return out
+}
+
 // settle brings the ledger to now. A time before the last one counts as the last.
 func (l *Ledger) settle(now time.Duration) {
 	now = max(now, l.now)
--- a/limit/property_test.go
+++ b/limit/property_test.go
@@ -157,6 +157,10 @@
 				}
 			case 9:
 				from, to := host(), host()
+				if rapid.IntRange(0, 3).Draw(t, "release") == 0 {
+					f.repay(f.ledgers[from].Release(f.now))
+					continue
+				}
 				if rapid.Bool().Draw(t, "sweep") || f.parts[from] == 0 {
 					f.repay(f.ledgers[from].Sweep(f.now))
 					continue
--- a/state/allowance.go
+++ b/state/allowance.go
@@ -41,7 +41,8 @@
 	return false
 }
 
-// borrow asks the other holders of an account's allowance for equal parts of what is missing.
+// borrow asks every other holder of an account's allowance for all that is missing, since it does not
+// know which of them have tokens. What is left serves the account's next requests.
 func (s *State) borrow(now time.Duration, r *request, a *accountState, missing int64) {
 	if a.borrow.pending > 0 || now < a.borrow.next {
 		return
@@ -50,7 +51,6 @@
 	if len(lenders) == 0 {
 		return
 	}
-	each := (missing + int64(len(lenders)) - 1) / int64(len(lenders))
 	a.borrow = borrowState{pending: len(lenders), missing: missing}
 	for _, lender := range lenders {
 		s.loans++
@@ -59,7 +59,7 @@
 			Loan:    s.settings.Host + "-" + strconv.FormatUint(s.loans, 36),
 			Lender:  lender.ID,
 			Address: lender.Address,
-			Tokens:  each,
+			Tokens:  missing,
 			Asked:   now,
 		})
 	}
@@ -99,6 +99,10 @@
 	}
 	if a.borrow.got < a.borrow.missing {
 		a.borrow.next = now + s.borrowPause(e.Account, a.borrow.missing-a.borrow.got)
+		// Several hosts that each kept too few tokens for a request would starve each other.
+		for _, repayment := range a.ledger.Release(now) {
+			s.repay(e.Account, repayment)
+		}
 	}
 	s.dispatchAll(now)
 }
