bench: add an endpoint that fails every call; queue: measure a choice among models

An endpoint that refuses connections loses its models at once, so ejection made no difference; one that fails calls while it reports them does.

--- a/bench/engine.go
+++ b/bench/engine.go
@@ -29,6 +29,7 @@
 	*clock
 	pool.Endpoint
 	down     bool
+	failing  bool // fails every call but reports and carries out orders
 	life     int
 	resident map[placement.Item]int64
 	loading  map[placement.Item]int64
@@ -47,7 +48,7 @@
 
 // accept takes an attempt; the outcome is reported through the job.
 func (e *engine) accept(j *job, adapter string) {
-	if e.down {
+	if e.down || e.failing {
 		e.after(failureDelay, func() { j.done(endpoint.Failed) })
 		return
 	}
--- a/bench/input.go
+++ b/bench/input.go
@@ -75,6 +75,7 @@
 	Shift     bool          // all accounts send near their rate to the same few models, to others from half-way
 	Scale     float64       // of rates and bursts; 0 leaves them
 	Endpoint  bool          // an endpoint is lost for faultFor
+	Failing   bool          // an endpoint fails every call for faultFor, but reports
 	Host      bool          // a host is lost
 	StaleList bool          // the host list does not change
 	Table     bool          // the table service is down for tableOutage
@@ -90,6 +91,7 @@
 		{Name: "shift", Length: short, Shift: true},
 		{Name: "scarce", Length: short, Shift: true, Scale: 2},
 		{Name: "endpoint lost", Length: short, Endpoint: true},
+		{Name: "endpoint failing", Length: short, Failing: true},
 		{Name: "host lost", Length: short, Host: true},
 		{Name: "stale list", Length: short, Host: true, StaleList: true},
 		{Name: "order loss", Length: short, Endpoint: true, Shift: true, OrderLoss: 0.2},
--- a/bench/run.go
+++ b/bench/run.go
@@ -106,6 +106,11 @@
 		r.after(faultAt, func() { lost.fail() })
 		r.after(faultAt+faultFor, func() { lost.down = false })
 	}
+	if r.input.Failing {
+		failing := r.engines[r.names[1]]
+		r.after(faultAt, func() { failing.failing = true })
+		r.after(faultAt+faultFor, func() { failing.failing = false })
+	}
 	if r.input.Host {
 		r.after(faultAt, func() { r.loseHost(r.nodes[0]) })
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -208,3 +208,25 @@
 		})
 	}
 }
+
+// BenchmarkNextModels measures a push and a next with every model waiting for one account. With busy,
+// only the last model asked about is ready.
+func BenchmarkNextModels(b *testing.B) {
+	for _, models := range []int{20, 870} {
+		for _, busy := range []bool{false, true} {
+			b.Run(fmt.Sprintf("models=%d/busy=%v", models, busy), func(b *testing.B) {
+				q, names, asked := New(), make([]string, models), 0
+				for m := range names {
+					names[m] = fmt.Sprint("model-", m)
+					q.Push(Item{ID: uint64(m), Account: "a", Class: names[m], Weight: 1, Tokens: 100})
+				}
+				ready := func(Item) bool { asked++; return !busy || asked%maxClasses == 0 }
+				b.ReportAllocs()
+				for i := range b.N {
+					q.Push(Item{ID: uint64(models + i), Account: "a", Class: names[i%models], Weight: 1, Tokens: 100})
+					q.Next(0, ready)
+				}
+			})
+		}
+	}
+}
