--- a/state/allowance.go
+++ b/state/allowance.go
@@ -45,8 +45,8 @@
 	return false
 }
 
-// borrow asks every other holder of an account's allowance for all that is missing, because nobody knows
-// which of them has tokens; what is too much goes back at the end of the round.
+// borrow asks every other holder of an account's allowance for all that is missing, since it does not
+// know which of them have tokens. What is left serves the account's next requests.
 func (s *State) borrow(now time.Duration, r *request, a *accountState, missing int64) {
 	if a.borrow.pending > 0 || now < a.borrow.next {
 		return
@@ -103,17 +103,12 @@
 	}
 	if a.borrow.got < a.borrow.missing {
 		a.borrow.next = now + s.borrowPause(e.Account, a.borrow.missing-a.borrow.got)
+		// Several hosts that each kept too few tokens for a request would starve each other.
+		for _, repayment := range a.ledger.Release(now) {
+			s.repay(e.Account, repayment)
+		}
 	}
 	s.dispatchAll(now)
-	if a.borrow.pending == 0 {
-		s.repayAll(e.Account, a.ledger.GiveUp(now))
-	}
-}
-
-func (s *State) repayAll(name string, repayments []limit.Repayment) {
-	for _, repayment := range repayments {
-		s.repay(name, repayment)
-	}
 }
 
 // borrowPause is the time in which the fleet earns the tokens that are missing, within bounds.
--- a/system/placement_test.go
+++ b/system/placement_test.go
@@ -229,7 +229,7 @@
 
 // Guards against new work for an endpoint that leaves by its own report, and against a model that
 // becomes unreachable when its only endpoint leaves.
-func TestProveLeavingEndpoint(t *testing.T) {
+func TestProveLeavingModel(t *testing.T) {
 	c := qt.New(t)
 	f := newFleet(t, layout{hosts: 2, engine: quick, fenced: []bool{true, true, true}, empty: true, edit: twoModels(1)})
 	f.eventually("hosts serve", func() bool { return f.serves(0) && f.serves(1) })
