--- a/state/capacity_test.go
+++ b/state/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -187,3 +188,29 @@
 
 // watchedEach is how many members a host asks each second without any commit.
 const watchedEach = 8
+
+// BenchmarkCapacityMemory reports the memory of a host's whole control state for each account (with
+// its share, key and bucket) and each pool (with one model, endpoint and lease).
+func BenchmarkCapacityMemory(b *testing.B) {
+	heap := func() float64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc)
+	}
+	for _, n := range []int{100, 1000, 10000} {
+		for kind, s := range map[string]sizes{"account": {members: 5, accounts: n, pools: 1}, "pool": {members: 5, accounts: 1, pools: n}, "member": {members: n, accounts: 1, pools: 1}} {
+			b.Run(fmt.Sprintf("%s=%d", kind, n), func(b *testing.B) {
+				var size float64
+				for b.Loop() {
+					before := heap()
+					f := newFleet(s)
+					size = heap() - before
+					runtime.KeepAlive(f)
+				}
+				b.ReportMetric(size/float64(n), "B/row")
+			})
+		}
+	}
+}
