caller: read a stream to its end, so that its connection is used again

Cause: the transport closes a connection whose answer was not read to its end; the relay stops at the last event, so every stream opened a new connection. Before: two streams open two connections. After: one (TestReadEnd); an endpoint that holds the end back is left after 20 ms.

--- a/caller/sender_test.go
+++ b/caller/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -47,3 +48,44 @@
 		})
 	}
 }
+
+// Guards against a new connection for every stream, and against a stream whose end the endpoint holds back.
+func TestReadEnd(t *testing.T) {
+	tests := map[string]struct {
+		hold   bool
+		opened int64
+	}{
+		"ended":     {false, 1},
+		"held back": {true, 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var opened atomic.Int64
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				io.WriteString(w, "x")
+				w.(http.Flusher).Flush()
+				if test.hold {
+					<-r.Context().Done()
+				}
+			}))
+			server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+				if s == http.StateNew {
+					opened.Add(1)
+				}
+			}
+			server.Start()
+			defer server.Close()
+			s := newSender()
+			for range 2 {
+				response, _, err := s.send(context.Background(), server.Listener.Addr().String(), "a", "", outgoing{method: http.MethodGet, target: "/"})
+				c.Assert(err, qt.IsNil)
+				_, err = io.ReadFull(response.Body, make([]byte, 1))
+				c.Assert(err, qt.IsNil)
+				readEnd(response.Body)
+				response.Body.Close()
+			}
+			c.Assert(opened.Load(), qt.Equals, test.opened)
+		})
+	}
+}
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -63,6 +63,9 @@
 	begin := func() { s.attemptEvent(t, timeline.First, &send, "") }
 	relay := &relay{w: w, flusher: flusher, begin: begin, now: s.backend.Now, pace: &t.track.pace, attempt: id, next: firstOffset}
 	err := relay.copy(response.Body)
+	if relay.done {
+		readEnd(response.Body)
+	}
 	for resumes := 0; errors.Is(err, errCut) && ctx.Err() == nil && resumes < maxResumes; resumes++ {
 		s.attemptEvent(t, timeline.Resumed, &send, "")
 		err = s.resume(ctx, relay, send, id, out)
@@ -86,6 +89,17 @@
 	return answer{event: finished, started: relay.started}
 }
 
+// endTimeout bounds the wait for the end of a stream whose last event has passed.
+const endTimeout = 20 * time.Millisecond
+
+// readEnd reads what follows the last event, usually nothing, because the transport closes a connection
+// whose answer was not read to its end. Each stream would then need a new one.
+func readEnd(body io.ReadCloser) {
+	timer := time.AfterFunc(endTimeout, func() { body.Close() })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, body, 1)
+}
+
 // resume asks the endpoint for the events after the last one that passed.
 func (s *Server) resume(ctx context.Context, relay *relay, send state.Send, id string, out outgoing) error {
 	response, _, err := s.sender.send(ctx, send.Endpoint.Address, id, relay.last(), out)
