host, operator: status names endpoints that no longer report

An engine that dies gets no calls once its reports are old, so it is not ejected and status called nothing wrong. The age of the last load report is shown, and from 5 s on it is a problem.

--- a/endpoint/inspect.go
+++ b/endpoint/inspect.go
@@ -1,5 +1,7 @@
 package endpoint
 
+import "time"
+
 // Status is what a view knows of one endpoint.
 type Status struct {
 	Endpoint Endpoint
@@ -7,7 +9,8 @@
 	Models   []string
 	Ejected  bool
 	Leaving  bool
-	Reported bool // has said what it holds
+	Reported bool          // has said what it holds
+	Taken    time.Duration // time of the last load report; 0 without one
 }
 
 // Inspect returns what is known of every endpoint.
@@ -18,7 +21,7 @@
 		if e.gone {
 			continue
 		}
-		status := Status{Endpoint: e.Endpoint, Running: e.calls, Ejected: e.ejected, Leaving: e.leaving, Reported: e.reported}
+		status := Status{Endpoint: e.Endpoint, Running: e.calls, Ejected: e.ejected, Leaving: e.leaving, Reported: e.reported, Taken: e.taken}
 		for _, held := range e.holding {
 			status.Models = append(status.Models, held.Model)
 		}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahoist/config"
+	"magnoliahoist/document"
 	"magnoliahoist/metric"
 	"magnoliahoist/operator"
 	"magnoliahoist/replica"
@@ -93,9 +94,12 @@
 		"no contact":    {func(s *operator.Status) { s.Contact = 4 }, "no contact with the table service .*"},
 		"silent member": {func(s *operator.Status) { s.Members = []operator.Member{{ID: "h2", Silent: true}} }, "member h2 .*"},
 		"ejected":       {func(s *operator.Status) { s.Endpoints = []operator.Endpoint{{Name: "e", Ejected: true}} }, "endpoint e .* ejected .*"},
-		"no endpoint":   {func(s *operator.Status) { s.Models[0].Endpoints = nil }, "model m .* has no endpoint"},
-		"not reported":  {func(s *operator.Status) { s.Models[0].Endpoints, s.Models[0].Reported = nil, false }, ""},
-		"not divided":   {func(s *operator.Status) { s.Shares = []operator.Share{{Account: "a"}} }, "account a: .*"},
+		"silent endpoint": {func(s *operator.Status) {
+			s.Endpoints = []operator.Endpoint{{Name: "e", Age: document.Duration(6 * time.Second)}}
+		}, "endpoint e .* not reported for 6s"},
+		"no endpoint":  {func(s *operator.Status) { s.Models[0].Endpoints = nil }, "model m .* has no endpoint"},
+		"not reported": {func(s *operator.Status) { s.Models[0].Endpoints, s.Models[0].Reported = nil, false }, ""},
+		"not divided":  {func(s *operator.Status) { s.Shares = []operator.Share{{Account: "a"}} }, "account a: .*"},
 		"shared and held": {func(s *operator.Status) {
 			s.Shares = []operator.Share{{Account: "a", Parts: []operator.Part{{Host: "h", Part: 1}}}}
 		}, ""},
--- a/host/problems.go
+++ b/host/problems.go
@@ -46,12 +46,19 @@
 	return list
 }
 
+// silence is the age of the last report from which on an endpoint counts as silent; reports come once a
+// second, directly or in the lease holder's summary.
+const silence = 5 * time.Second
+
 func endpointProblems(s operator.Status) []string {
 	var list []string
 	for _, e := range s.Endpoints {
 		if e.Ejected {
 			list = append(list, fmt.Sprintf("endpoint %s of pool %s is ejected after failures", e.Name, e.Pool))
 		}
+		if age := time.Duration(e.Age); age > silence {
+			list = append(list, fmt.Sprintf("endpoint %s of pool %s has not reported for %s", e.Name, e.Pool, age.Round(time.Second)))
+		}
 	}
 	for _, m := range s.Models {
 		if m.Reported && len(m.Endpoints) == 0 {
--- a/host/status.go
+++ b/host/status.go
@@ -50,6 +50,7 @@
 
 func (h *Host) endpoints() []operator.Endpoint {
 	var list []operator.Endpoint
+	now := h.Now()
 	for _, e := range h.state.Endpoints() {
 		list = append(list, operator.Endpoint{
 			Name:     e.Endpoint.Name,
@@ -60,11 +61,20 @@
 			Ejected:  e.Ejected,
 			Leaving:  e.Leaving,
 			Reported: e.Reported,
+			Age:      ageOf(now, e.Taken),
 		})
 	}
 	return list
 }
 
+// ageOf returns the age of a report, 0 without one.
+func ageOf(now, taken time.Duration) document.Duration {
+	if taken <= 0 {
+		return 0
+	}
+	return document.Duration(now - taken)
+}
+
 func (h *Host) stateNow() operator.State {
 	switch {
 	case h.isDraining():
--- a/operator/backend.go
+++ b/operator/backend.go
@@ -159,12 +159,13 @@
 
 // Endpoint is an endpoint as the host sees it.
 type Endpoint struct {
-	Name     string   `json:"name"`
-	Pool     string   `json:"pool"`
-	Domain   string   `json:"domain"`
-	Running  int      `json:"running"` // calls
-	Models   []string `json:"models,omitempty"`
-	Ejected  bool     `json:"ejected,omitempty"`
-	Leaving  bool     `json:"leaving,omitempty"`
-	Reported bool     `json:"reported,omitempty"` // has said what it holds
+	Name     string            `json:"name"`
+	Pool     string            `json:"pool"`
+	Domain   string            `json:"domain"`
+	Running  int               `json:"running"` // calls
+	Models   []string          `json:"models,omitempty"`
+	Ejected  bool              `json:"ejected,omitempty"`
+	Leaving  bool              `json:"leaving,omitempty"`
+	Reported bool              `json:"reported,omitempty"` // has said what it holds
+	Age      document.Duration `json:"age,omitempty"`      // of the last load report; 0 without one
 }
--- a/system/day_test.go
+++ b/system/day_test.go
@@ -148,6 +148,9 @@
 	})
 	c.Check(d.do("status"), qt.Contains, "endpoint engine-1 of pool inspection is ejected")
 	c.Check(d.do("timeline", "--kind", "restored"), qt.Equals, "")
+	f.eventually("status names the silent engine", func() bool {
+		return strings.Contains(d.do("status"), "endpoint engine-1 of pool inspection has not reported for")
+	})
 	c.Check(d.do("timeline", "--kind", "retried"), qt.Contains, "endpoint=engine-0")
 	for _, kind := range []string{"received", "failed", "retried", "finished", "answered"} {
 		c.Check(d.do("timeline", "--endpoint", "engine-1"), qt.Contains, " "+kind+" ")
