--- a/system/placement_test.go
+++ b/system/placement_test.go
@@ -227,9 +227,37 @@
 	f.checkMemory()
 }
 
-// Guards against new work for an endpoint that leaves by its own report, and against a model that
-// becomes unreachable when its only endpoint leaves.
+// Guards against new work for an endpoint that leaves by its own report or by the platform's list, and
+// against a model that becomes unreachable when its only endpoint leaves.
 func TestProveLeavingEndpoint(t *testing.T) {
+	for name, leave := range map[string]func(f *fleet, address string){
+		"own report": func(f *fleet, address string) { f.put(address, "/v2/leaving", `{"leaving": true}`) },
+		"platform's list": func(f *fleet, address string) {
+			f.put(f.list.address(), "/v1/hosts", `[{"name": "leaving", "address": "`+address+`", "state": "leaving"}]`)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			leaveEndpoint(t, leave)
+		})
+	}
+}
+
+// put sends JSON to a stand-in.
+func (f *fleet) put(address, path, text string) {
+	f.t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, strings.NewReader(text))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := callers.Do(request)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	body(f.t, response)
+}
+
+func leaveEndpoint(t *testing.T, leave func(f *fleet, address string)) {
 	c := qt.New(t)
 	f := newFleet(t, layout{hosts: 2, engine: quick, fenced: []bool{true, true, true}, empty: true, edit: twoModels(1)})
 	f.eventually("hosts serve", func() bool { return f.serves(0) && f.serves(1) })
@@ -237,11 +265,7 @@
 	for !f.holds(leaving, "inspect-7b", "1") {
 		leaving++
 	}
-	request, err := http.NewRequest(http.MethodPut, "http://"+f.engines[leaving].address()+"/v2/leaving", strings.NewReader(`{"leaving": true}`))
-	c.Assert(err, qt.IsNil)
-	response, err := callers.Do(request)
-	c.Assert(err, qt.IsNil)
-	body(t, response)
+	leave(f, f.engines[leaving].address())
 	began := time.Now()
 	before := -1
 	for time.Since(began) < 8*time.Second {
