--- a/host/drain.go
+++ b/host/drain.go
@@ -44,7 +44,7 @@
 // stop goes on serving until the balancer has noticed, refuses new requests, finishes the running ones,
 // hands over what the host holds and leaves.
 func (h *Host) stop() error {
-	time.Sleep(time.Duration(h.settings.Lag))
+	time.Sleep(replica.Wait(time.Duration(h.settings.Lag)))
 	h.Apply(state.Drain{})
 	h.awaitRequests()
 	h.callers.Finish()
