fault, system: refuse with the attempt's id; test refusals that endpoints state

Cause: the refusal of a stand-in did not repeat X-Request-Id, as endpoints do in every answer, so that a host took it for the answer of another attempt and said "unknown". Not trusting "not run" without the id is right and stays.

Change: the stand-in repeats the id. The new test counts that a stated refusal reaches callers as "not run", that nothing ran, and that the key of a refused stamp can be used again, once.

--- a/fault/set.go
+++ b/fault/set.go
@@ -101,6 +101,10 @@
 			Abort()
 		}
 		if f.Refuse {
+			// Endpoints repeat the id of the attempt in every answer.
+			if id := r.Header.Get("X-Request-Id"); id != "" {
+				w.Header().Set("X-Request-Id", id)
+			}
 			w.Header().Set("X-Run", "no")
 			http.Error(w, `{"error":{"type":"unavailable","message":"not carried out","run":"no"}}`, http.StatusServiceUnavailable)
 			return
--- a/system/once_test.go
+++ b/system/once_test.go
@@ -310,3 +310,28 @@
 		}
 	}
 }
+
+// Guards against a refusal that says "not run" wrongly or says "unknown" needlessly when no endpoint took
+// the call, and against an idempotency key that stays used after such a refusal.
+func TestProveNotRunWhenRefused(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	f := newFleet(t, layout{hosts: 2, engine: quick, fenced: []bool{true}})
+	refuse := func(name string) {
+		c.Helper()
+		stamp := f.stamp(0, name, "{}")
+		c.Check(stamp.run, qt.Equals, "no", qt.Commentf("%+v", stamp))
+		booking := f.ask(0, http.MethodPost, "/bookings/"+name, f.keys["docks"], "{}", nil)
+		c.Check(booking.run, qt.Equals, "no", qt.Commentf("%+v", booking))
+		c.Check(f.counts(), qt.HasLen, 0)
+	}
+	setFaults(t, fault.Faults{Refuse: true}, f.services...)
+	refuse("refused")
+	refuse("refused")
+	setFaults(t, fault.Faults{}, f.services...)
+	for host := range f.hosts {
+		stamp := f.stamp(host, "refused", "{}")
+		c.Check(stamp.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", stamp))
+	}
+	c.Check(f.executions("refused"), qt.Equals, 1)
+}
