--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -169,12 +169,13 @@
 }
 
 // restart drops the orders that only the former process can have received:
-// those whose request had ended before that process answered a report.
+// those whose request had ended before that process answered a report. When a
+// predecessor's request ends is not known: it may be paused before its send.
 func (l *ledger) restart() {
 	l.confirmed = false
 	kept := l.orders[:0]
 	for _, o := range l.orders {
-		if !o.ended || o.endedAt > l.asked {
+		if o.old || !o.ended || o.endedAt > l.asked {
 			kept = append(kept, o)
 		}
 	}
