--- a/host/manager.go
+++ b/host/manager.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"magnoliahoist/order"
 	"magnoliahoist/placement"
 	"magnoliahoist/pool"
@@ -20,9 +17,6 @@
 // observePeriod is the time between two reads of every endpoint's load.
 const observePeriod = time.Second
 
-// errNoLease says that the lease was lost before an order left the host.
-var errNoLease = errors.New("host: lease may not be used")
-
 // manager manages the endpoints of one pool under one number of its lease. It is kept while the
 // lease's row shows this number, since a second manager under it would use sequence numbers again.
 type manager struct {
@@ -31,7 +25,8 @@
 	number   int64
 	ctx      context.Context // ends when the lease is lost
 	cancel   context.CancelFunc
-	client   *http.Client
+	client   *http.Client  // for reports
+	bound    *order.Bound  // for orders
 	observed chan struct{} // says that there is a newer view
 
 	// Used by direct only. One driver counts all writes under the number, by which it knows its own.
@@ -47,40 +42,27 @@
 	endSends  context.CancelFunc
 	placement *placement.Manager
 	loads     []state.Load
+	instances map[string]string     // ids of the processes that gave the last reports, by endpoint
 	demands   map[string]hostDemand // by member id
 }
 
 func (h *Host) newManager(pool string, number int64) *manager {
 	m := &manager{
-		host:     h,
-		pool:     pool,
-		number:   number,
-		observed: make(chan struct{}, 1),
-		demands:  map[string]hostDemand{},
+		host:      h,
+		pool:      pool,
+		number:    number,
+		client:    &http.Client{Transport: platformTransport()},
+		bound:     order.NewBound(),
+		observed:  make(chan struct{}, 1),
+		instances: map[string]string{},
+		demands:   map[string]hostDemand{},
 	}
-	m.client = &http.Client{Transport: m.transport()}
-	m.driver = order.New(h.table, m.client, pool, number)
+	m.driver = order.New(h.table, m.bound.Client(), pool, number)
 	m.ctx, m.cancel = context.WithCancel(h.tomb.Context(context.Background()))
 	m.sending, m.endSends = context.WithCancel(m.ctx)
 	return m
 }
 
-// transport returns a transport that checks the lease again after a connection was opened, since
-// that may take long.
-func (m *manager) transport() *http.Transport {
-	transport := platformTransport()
-	dialer := &net.Dialer{Timeout: platformTimeout}
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dialer.DialContext(ctx, network, address)
-		if err == nil && !m.usable() {
-			connection.Close()
-			return nil, errNoLease
-		}
-		return connection, err
-	}
-	return transport
-}
-
 // start runs the manager until stop.
 func (m *manager) start() {
 	m.host.run(func(context.Context) { m.observe() })
@@ -91,6 +73,7 @@
 func (m *manager) stop() {
 	m.cancel()
 	m.client.CloseIdleConnections()
+	m.bound.Close()
 }
 
 // pause ends running requests with orders while the lease may not be used.
--- a/host/orders.go
+++ b/host/orders.go
@@ -121,7 +121,7 @@
 // send sends one recorded order, if the lease may be used at this moment.
 func (m *manager) send(address string, o placement.Order) {
 	m.recordOrder(timeline.Ordered, o)
-	sending, usable := m.begin(o)
+	sending, usable := m.begin(address, o)
 	if !usable {
 		m.recordOrder(timeline.Lost, o)
 		return
@@ -149,17 +149,19 @@
 	}
 }
 
-// begin notes that the order's request starts now and returns the context for it; it returns false
-// when the lease may not be used.
-func (m *manager) begin(o placement.Order) (context.Context, bool) {
+// begin notes that the order's request starts now and returns the context for it. It returns false when
+// the lease may not be used, or when no connection is left from before the endpoint's last report.
+func (m *manager) begin(address string, o placement.Order) (context.Context, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usable() {
-		m.placement.Unsent(m.host.Now(), o.ID)
-		return nil, false
+	if m.usable() {
+		if sending, bound := m.bound.Take(m.sending, address); bound {
+			m.placement.Sent(m.host.Now(), o.ID)
+			return sending, true
+		}
 	}
-	m.placement.Sent(m.host.Now(), o.ID)
-	return m.sending, true
+	m.placement.Unsent(m.host.Now(), o.ID)
+	return nil, false
 }
 
 func (m *manager) recordOrder(kind timeline.Kind, o placement.Order) {
--- a/host/report.go
+++ b/host/report.go
@@ -81,6 +81,7 @@
 	for n, r := range reports {
 		loads[n] = r.load()
 	}
+	m.bind(entry, reports)
 	m.mu.Lock()
 	m.loads = loads
 	if m.placement != nil {
@@ -97,6 +98,25 @@
 	}
 }
 
+// bind makes the connections usable that were opened before the reports were asked for. Those to an
+// endpoint whose process has changed are closed.
+func (m *manager) bind(entry pool.Pool, reports []report) {
+	addresses := make(map[string]string, len(entry.Endpoints))
+	for _, e := range entry.Endpoints {
+		addresses[e.Name] = e.Address
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range reports {
+		if known, seen := m.instances[r.endpoint]; seen && known != r.Instance {
+			m.bound.Discard(addresses[r.endpoint])
+		} else {
+			m.bound.Confirm(addresses[r.endpoint])
+		}
+		m.instances[r.endpoint] = r.Instance
+	}
+}
+
 // readAll returns the reports of the endpoints that answer.
 func (m *manager) readAll(entry pool.Pool) []report {
 	var mu sync.Mutex
@@ -124,6 +144,10 @@
 func (m *manager) read(e pool.Endpoint) (report, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, reportTimeout)
 	defer cancel()
+	if err := m.bound.Open(ctx, e.Address); err != nil {
+		m.bound.Discard(e.Address)
+		return report{}, err
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v2/load", nil)
 	if err != nil {
 		return report{}, errors.Trace(err)
