system: wait until the engine has reported before it is killed

One of three runs killed the engine before its first report; it then has no age, and status does not name it as silent.

--- a/system/day_test.go
+++ b/system/day_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -132,6 +133,10 @@
 
 // failing kills an engine and looks for the attempts that failed there.
 func (d *desk) failing(c *qt.C, f *fleet) {
+	f.eventually("the engine has reported", func() bool {
+		status, err := f.operators[0].Status(context.Background())
+		return err == nil && slices.ContainsFunc(status.Endpoints, func(e operator.Endpoint) bool { return e.Name == "engine-1" && e.Age > 0 })
+	})
 	f.engines[1].kill()
 	answers := make([]answer, burst)
 	var sent sync.WaitGroup
