--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -113,7 +113,8 @@
 	if r.attempts >= s.settings.Attempts || !s.replica.Fresh(now) {
 		return false
 	}
-	if e.Outcome != endpoint.Refused && e.Outcome != endpoint.Absent && !p.view.AllowRetry(now) {
+	// An attempt that was not sent has put no load on an endpoint, so it costs nothing of the budget.
+	if e.Sent && !p.view.AllowRetry(now) {
 		return false
 	}
 	index, available := p.view.Pick(now, s.want(p, r))
