state: an attempt starts within half a second of its take, or not at all

Ruled out: checking at the endpoint, which does not know accounts. Change: the reducer bounds the start of an attempt; the property test requires it. Before: the effect allowed 3 s. After: 0.5 s.

--- a/state/dispatch.go
+++ b/state/dispatch.go
@@ -8,6 +8,10 @@
 	"magnoliahoist/route"
 )
 
+// sendPatience is how long after its tokens were taken an attempt may start. A host that was paused in
+// between would otherwise add tokens to those that have been earned meanwhile.
+const sendPatience = 500 * time.Millisecond
+
 // dispatch sends queued requests of a pool for which there are tokens and an endpoint.
 func (s *State) dispatch(now time.Duration, p *poolState) {
 	if !s.replica.Fresh(now) {
@@ -68,7 +72,7 @@
 		Route:    r.route,
 		Endpoint: p.view.At(index),
 		Limit:    r.limit,
-		Until:    s.replica.FreshUntil(),
+		Until:    min(s.replica.FreshUntil(), now+sendPatience),
 	})
 }
 
--- a/state/property_test.go
+++ b/state/property_test.go
@@ -112,6 +112,8 @@
 			t.Fatalf("request %d is sent although it has ended or runs", e.Request)
 		case !m.states[0].replica.Fresh(m.now):
 			t.Fatalf("request %d is sent by a host that is not fresh", e.Request)
+		case e.Until > m.now+sendPatience:
+			t.Fatalf("request %d may be sent until %s, its tokens are taken at %s", e.Request, e.Until, m.now)
 		case m.known:
 			t.Fatalf("request %d is sent with a withdrawn key", e.Request)
 		case r.sent && (r.route == "once" || r.route == "plain"):
