state, host: follow the shares as soon as a host is fresh again; join by the members

Ruled out: a fault of the join itself; the same happens to a member that learns rows while stale. Change: the exchange that makes a host fresh also sets its shares; hosts of the platform's list tell a new host their ids and the shared state. Before: the process panics in affordable; TestLoweredPartAfterStaleness fails. After: both pass.

--- a/host/hosts.go
+++ b/host/hosts.go
@@ -68,5 +68,6 @@
 	}
 	h.Apply(state.Listed{Leaving: leaving})
 	h.Apply(state.Hosts{Read: started, Addresses: addresses})
+	h.discover(addresses)
 	return nil
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -112,3 +112,17 @@
 func (c *Client) Timeline(ctx context.Context, to Target, from Sender, after int64) (*TimelineResponse, error) {
 	return call(ctx, c, to, readTimeout, Peer.Timeline, &TimelineRequest{Header: header(to, from), After: after})
 }
+
+// Identify returns the id of the member that answers at an address. It is for hosts that know addresses
+// only; what is asked of a member afterwards names the id.
+func (c *Client) Identify(ctx context.Context, address string, from Sender) (string, error) {
+	_, err := c.Announce(ctx, Target{Address: address}, from, 0)
+	var other *MemberError
+	if errors.As(err, &other) && other.Got != "" {
+		return other.Got, nil
+	}
+	if err == nil {
+		err = ErrFailed
+	}
+	return "", err
+}
--- a/state/request.go
+++ b/state/request.go
@@ -98,6 +98,9 @@
 	if r.bound > owner.Burst {
 		return nil, TooLarge
 	}
+	if s.accounts[name] == nil {
+		return nil, Stale
+	}
 	if s.pools[found.Pool] == nil {
 		return nil, NoEndpoint
 	}
--- a/state/sync.go
+++ b/state/sync.go
@@ -149,15 +149,25 @@
 	}
 }
 
+// catchUp sets the shares when the exchange has made the host fresh: rows that it learned before may have
+// lowered its parts, and nothing may be sent or lent by the old ones.
+func (s *State) catchUp(now time.Duration) {
+	if !s.takeover.current {
+		s.updateHoldings(now)
+	}
+}
+
 // learned takes up rows of the shared state.
 func (s *State) learned(now time.Duration, e Learned) {
 	before := s.replica.View()
 	s.replica.Settle(e.Settled)
-	if !s.replica.Learn(now, e.Started, e.Source, e.After, e.Rows) || s.replica.View() == before {
+	if !s.replica.Learn(now, e.Started, e.Source, e.After, e.Rows) {
 		return
 	}
-	if len(e.Rows.Rows) == 0 {
-		return // the table's revision rises with rows outside the shared state, too
+	// The table's revision rises with rows outside the shared state, too.
+	if s.replica.View() == before || len(e.Rows.Rows) == 0 {
+		s.catchUp(now)
+		return
 	}
 	s.takeover.current, s.takeover.idle = false, false
 	s.setPools(now)
--- a/system/key_test.go
+++ b/system/key_test.go
@@ -121,6 +121,29 @@
 	c.Assert(f.executions("down-1"), qt.Equals, 1)
 }
 
+// Guards against a fleet that cannot replace a host while the table service is down.
+func TestProveJoinWithoutTableService(t *testing.T) {
+	c := qt.New(t)
+	l := layout{hosts: 3, engine: quick, fenced: []bool{true}}
+	f := newFleet(t, l)
+	var list []string
+	for _, h := range f.hosts {
+		list = append(list, `{"name": "host", "address": "`+h.word("peers")+`", "state": "live"}`)
+	}
+	f.put(f.list.address(), "/v1/hosts", "["+strings.Join(list, ",")+"]")
+	setFault(t, f.table.address(), fault.Faults{Down: true})
+	f.addHost(l, 3)
+	f.eventually("the new host serves", func() bool {
+		return f.chat(3, f.keys["yards"], "joined", 5).status == http.StatusOK
+	})
+	setFault(t, f.table.address(), fault.Faults{})
+	f.eventually("the new host is a member", func() bool {
+		status, err := f.operators[0].Status(context.Background())
+		return err == nil && len(status.Members) == 4
+	})
+	c.Assert(f.chat(3, f.keys["yards"], "member", 5).status, qt.Equals, http.StatusOK)
+}
+
 // Guards against a key that reaches an endpoint in any place of a request.
 func TestProveNoKeyAtEndpoints(t *testing.T) {
 	c := qt.New(t)
