--- a/caller/observe.go
+++ b/caller/observe.go
@@ -19,7 +19,7 @@
 	resultRepeated  = "repeated"  // at-most-once call that was not sent again
 )
 
-// Observer takes up what happens to requests, for the time line and the metrics.
+// Observer receives what happens to requests, for the time line and the metrics.
 type Observer interface {
 	// Record adds an event to the time line; stamp and host are filled in.
 	Record(event timeline.Event)
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -15,7 +15,7 @@
 	"magnoliahoist/timeline"
 )
 
-// maxResumes is how often a stream that was cut is taken up again at the same endpoint.
+// maxResumes is how often a stream that was cut is resumed at the same endpoint.
 const maxResumes = 2
 
 // maxEventBytes bounds one event of a stream.
@@ -57,7 +57,7 @@
 	written []byte // last event that was written, kept for its memory
 }
 
-// stream hands the events of an attempt to the caller, taking up a cut stream where it broke.
+// stream hands the events of an attempt to the caller, resuming a cut stream where it broke.
 func (s *Server) stream(ctx context.Context, w http.ResponseWriter, t *task, send state.Send, id string, out outgoing, response *http.Response) answer {
 	flusher, _ := w.(http.Flusher)
 	begin := func() { s.attemptEvent(t, timeline.First, &send, "") }
--- a/cli/hooks.go
+++ b/cli/hooks.go
@@ -10,7 +10,7 @@
 
 // Hooks carry out the commands that run hosts and stand-ins. The context ends when the process is
 // asked to stop; a hook that is nil is not built in. A host loads its settings at its start and again when
-// it is asked to take up changes.
+// it is asked to apply changes.
 type Hooks struct {
 	Host    func(ctx context.Context, load func() (config.Host, error), out, errs io.Writer) error
 	Dev     func(ctx context.Context, out, errs io.Writer) error
--- a/host/accept.go
+++ b/host/accept.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// announce tells a member of a revision and takes up what it has applied.
+// announce tells a member of a revision and records what it has applied.
 func (h *Host) announce(ctx context.Context, e state.Announce) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
--- a/host/demand.go
+++ b/host/demand.go
@@ -30,7 +30,7 @@
 	rates map[string]float64
 }
 
-// advance takes up the totals since the start; rates stay as they are within demandStep.
+// advance adds the totals since the start; rates stay as they are within demandStep.
 func (m *meter) advance(now time.Duration, used map[string]int64) {
 	elapsed := now - m.at
 	if elapsed < demandStep {
--- a/host/exchange.go
+++ b/host/exchange.go
@@ -30,7 +30,7 @@
 	return nil
 }
 
-// learned takes up rows of the shared state and records the changes.
+// learned applies rows of the shared state and records the changes.
 func (h *Host) learned(e state.Learned) {
 	before := h.View()
 	h.Apply(e)
--- a/host/orders.go
+++ b/host/orders.go
@@ -70,7 +70,7 @@
 	return nil
 }
 
-// failed takes up why the pool's rows could not be written.
+// failed handles the reason why the pool's rows could not be written.
 func (m *manager) failed(err error) {
 	switch {
 	case errors.Is(err, order.ErrSuperseded):
--- a/host/peers.go
+++ b/host/peers.go
@@ -60,7 +60,7 @@
 	return (wall + stampUnit - 1) / stampUnit * stampUnit
 }
 
-// observe takes up the stamp of another host.
+// observe advances the clock past the stamp of another host.
 func (h *Host) observe(stamp int64) {
 	h.ringMu.Lock()
 	defer h.ringMu.Unlock()
--- a/host/reload.go
+++ b/host/reload.go
@@ -12,7 +12,7 @@
 	"magnoliahoist/config"
 )
 
-// loadAgain loads the settings and takes up what may change while the host runs. Wrong settings change nothing.
+// loadAgain loads the settings and applies what may change while the host runs. Wrong settings change nothing.
 func (h *Host) loadAgain(load func() (config.Host, error)) {
 	settings, err := load()
 	if err != nil {
@@ -22,7 +22,7 @@
 	h.Reload(settings)
 }
 
-// Reload takes up the log level, the largest body and the longest call. Everything else needs a planned
+// Reload applies the log level, the largest body and the longest call. Everything else needs a planned
 // stop and a start, because it is part of a listener, of the member row or of what all hosts must agree on;
 // settings that differ there are named in the log and stay as they are.
 func (h *Host) Reload(settings config.Host) {
--- a/host/summary.go
+++ b/host/summary.go
@@ -45,7 +45,7 @@
 	h.run(func(ctx context.Context) { h.readSummary(ctx, pool, member) })
 }
 
-// readSummary takes up what the lease holder knows of a pool.
+// readSummary applies what the lease holder knows of a pool.
 func (h *Host) readSummary(ctx context.Context, pool string, holder replica.Member) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -102,7 +102,7 @@
 	return response, nil
 }
 
-// noteDemand takes up the demand on another host. The lock is held.
+// noteDemand records the demand on another host. The lock is held.
 func (m *manager) noteDemand(now time.Duration, r *peer.SummaryRequest) {
 	d := hostDemand{at: now, tokens: make(map[string]float64, len(r.GetDemands()))}
 	for _, one := range r.GetDemands() {
--- a/replica/capacity_test.go
+++ b/replica/capacity_test.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// BenchmarkCapacityLearn takes up an exchange without changes, by the number of members.
+// BenchmarkCapacityLearn measures an exchange without changes, by the number of members.
 func BenchmarkCapacityLearn(b *testing.B) {
 	for _, n := range []int{5, 50, 400} {
 		b.Run(fmt.Sprintf("member=%d", n), func(b *testing.B) {
--- a/state/allowance.go
+++ b/state/allowance.go
@@ -87,7 +87,7 @@
 	return lenders
 }
 
-// lent takes up a loan; when the round brought too little, the next one waits until tokens may have grown.
+// lent books a loan; when the round brought too little, the next one waits until tokens may have grown.
 func (s *State) lent(now time.Duration, e Lent) {
 	a := s.accounts[e.Account]
 	if a == nil {
--- a/state/follow_test.go
+++ b/state/follow_test.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// learn takes up one row from the table service.
+// learn applies one row from the table service.
 func (f *fleet) learn(key string, value []byte) {
 	after := f.revision
 	f.revision++
--- a/state/sync.go
+++ b/state/sync.go
@@ -157,7 +157,7 @@
 	}
 }
 
-// learned takes up rows of the shared state.
+// learned applies rows of the shared state.
 func (s *State) learned(now time.Duration, e Learned) {
 	before := s.replica.View()
 	s.replica.Settle(e.Settled)
@@ -190,7 +190,7 @@
 	}
 }
 
-// setPools takes up the pools table; requests of a pool that is gone are stopped by recheck or fail.
+// setPools applies the pools table; requests of a pool that is gone are stopped by recheck or fail.
 func (s *State) setPools(now time.Duration) {
 	for _, entry := range s.replica.View().Pools() {
 		p := s.pools[entry.Name]
--- a/state/takeover.go
+++ b/state/takeover.go
@@ -200,7 +200,7 @@
 	s.takeover.unannounced, s.takeover.announced = 0, now
 }
 
-// followHoldings takes up what the host may use now.
+// followHoldings updates what the host may use now.
 func (s *State) followHoldings(now time.Duration) {
 	if s.takeover.current || now-s.takeover.hold < holdPeriod {
 		return
