--- a/host/host.go
+++ b/host/host.go
@@ -183,14 +183,5 @@
 
 // tick lets time pass in the reducer until the host stops.
 func (h *Host) tick() error {
-	ticker := time.NewTicker(tickPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			h.Apply(state.Tick{})
-		}
-	}
+	return h.every(tickPeriod, func() { h.Apply(state.Tick{}) })
 }
--- a/host/leases.go
+++ b/host/leases.go
@@ -28,16 +28,7 @@
 
 // watchLeases starts and stops managers as leases come and go.
 func (h *Host) watchLeases() error {
-	ticker := time.NewTicker(leasePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			h.followLeases()
-		}
-	}
+	return h.every(leasePeriod, h.followLeases)
 }
 
 func (h *Host) followLeases() {
--- a/host/summary.go
+++ b/host/summary.go
@@ -20,19 +20,14 @@
 // watchSummaries asks the lease holders of the model pools for their summaries once a second.
 // Without a summary the host relies on what it knows; loads lose their weight with their age.
 func (h *Host) watchSummaries() error {
-	ticker := time.NewTicker(summaryPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.tomb.Dying():
-			return nil
-		case <-ticker.C:
-		}
-		view := h.View()
-		for _, entry := range view.Pools() {
-			if row, found := view.LeaseOf(entry.Name); found && isModelPool(entry) && row.Holder != h.id {
-				h.askSummary(view, entry.Name, row.Holder)
-			}
+	return h.every(summaryPeriod, h.askSummaries)
+}
+
+func (h *Host) askSummaries() {
+	view := h.View()
+	for _, entry := range view.Pools() {
+		if row, found := view.LeaseOf(entry.Name); found && isModelPool(entry) && row.Holder != h.id {
+			h.askSummary(view, entry.Name, row.Holder)
 		}
 	}
 }
--- a/host/watch.go
+++ b/host/watch.go
@@ -12,20 +12,13 @@
 // watch records when the host becomes stale or fresh and when endpoints are ejected or restored.
 func (h *Host) watch() error {
 	fresh, ejected := false, map[string]bool{}
-	ticker := time.NewTicker(watchPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-h.tomb.Dying():
-			return nil
-		case <-ticker.C:
-			if now := h.Fresh(); now != fresh {
-				fresh = now
-				h.recordFreshness(fresh)
-			}
-			ejected = h.recordEjections(ejected)
+	return h.every(watchPeriod, func() {
+		if now := h.Fresh(); now != fresh {
+			fresh = now
+			h.recordFreshness(fresh)
 		}
-	}
+		ejected = h.recordEjections(ejected)
+	})
 }
 
 func (h *Host) recordFreshness(fresh bool) {
