platform, entry, dispatch: serve callers on the platform, first thin path

Cause: magnoliahoist spoke its own dialects only. The platform has its own ingress, store, registrations and engines.

Change: platform/ translates; catalog, directory, intake and connection are the product's own types for what it brings; dispatch is the reducer that admits, queues, places and repeats requests; entry runs a host. The present interface is unchanged.

Ruled out: a second front end of package state, whose freshness and acceptance by majority rest on edits that go through hosts; here the operator writes to the store.

--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,109 @@
+// Package catalog holds an operator's configuration as one immutable value: client accounts, routes and
+// pools, with the lookups that a request needs.
+package catalog
+
+import (
+	"slices"
+	"strings"
+)
+
+// Catalog is one version of the configuration. It is never changed after New.
+type Catalog struct {
+	version  int64
+	limits   Limits
+	accounts map[string]Account
+	owners   map[Digest]string // account of each key
+	routes   map[string][]Route
+	pools    map[string]Pool
+}
+
+// Document is what New builds a catalog from.
+type Document struct {
+	Version  int64
+	Limits   Limits
+	Accounts []Account
+	Keys     map[Digest]string // account of each key
+	Routes   []Route
+	Pools    []Pool
+}
+
+// New returns the catalog of a document.
+func New(d Document) *Catalog {
+	c := &Catalog{
+		version:  d.Version,
+		limits:   d.Limits,
+		accounts: make(map[string]Account, len(d.Accounts)),
+		owners:   d.Keys,
+		routes:   make(map[string][]Route),
+		pools:    make(map[string]Pool, len(d.Pools)),
+	}
+	for _, a := range d.Accounts {
+		c.accounts[a.Name] = a
+	}
+	for _, p := range d.Pools {
+		c.pools[p.Name] = p
+	}
+	for _, r := range d.Routes {
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, list := range c.routes {
+		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return c
+}
+
+// Version returns the version; later documents have higher ones.
+func (c *Catalog) Version() int64 { return c.version }
+
+// Limits returns the bounds on what callers may send.
+func (c *Catalog) Limits() Limits { return c.limits }
+
+// Keyed reports whether routes that are not open need a key.
+func (c *Catalog) Keyed() bool { return len(c.accounts) > 0 }
+
+// RouteFor returns the route of the host with the longest prefix that begins the path.
+func (c *Catalog) RouteFor(host, path string) (Route, bool) {
+	for _, r := range c.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// AccountByKey returns the account that holds a key.
+func (c *Catalog) AccountByKey(key Digest) (Account, bool) {
+	name, issued := c.owners[key]
+	if !issued {
+		return Account{}, false
+	}
+	return c.AccountByName(name)
+}
+
+// AccountByName returns an account.
+func (c *Catalog) AccountByName(name string) (Account, bool) {
+	a, known := c.accounts[name]
+	return a, known
+}
+
+// Accounts returns the names of all accounts in ascending order.
+func (c *Catalog) Accounts() []string { return sortedKeys(c.accounts) }
+
+// PoolByName returns a pool.
+func (c *Catalog) PoolByName(name string) (Pool, bool) {
+	p, known := c.pools[name]
+	return p, known
+}
+
+// Pools returns the names of all pools in ascending order.
+func (c *Catalog) Pools() []string { return sortedKeys(c.pools) }
+
+func sortedKeys[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -14,6 +14,7 @@
 
 	"magnoliahoist/bench"
 	"magnoliahoist/dev"
+	"magnoliahoist/entry"
 	"magnoliahoist/host"
 )
 
@@ -30,6 +31,7 @@
 	Output string `short:"o" enum:"text,json" default:"text" help:"Output format: text or json."`
 
 	Host     hostCommand     `cmd:"" help:"Run an entry host."`
+	Entry    entryCommand    `cmd:"" help:"Run an entry host on a platform whose endpoints register themselves."`
 	Dev      devCommand      `cmd:"" help:"Run everything in one process with example tables."`
 	Standin  standinCommand  `cmd:"" hidden:"" help:"Run a stand-in for a service of the platform or for an endpoint."`
 	Bench    benchCommand    `cmd:"" help:"Measure the policy and its baselines on a virtual clock."`
@@ -51,7 +53,7 @@
 // Run carries out the command line and returns the exit status:
 // 0 done, 1 refused or failed, 2 wrong use.
 func Run(args []string, out, errs io.Writer) int {
-	return Hooks{Host: host.Run, Dev: dev.Run, Standin: dev.RunStandin, Bench: bench.Report}.Run(args, out, errs)
+	return Hooks{Host: host.Run, Entry: entry.Run, Dev: dev.Run, Standin: dev.RunStandin, Bench: bench.Report}.Run(args, out, errs)
 }
 
 // Run carries out the command line and returns the exit status:
--- a/cli/hooks.go
+++ b/cli/hooks.go
@@ -13,6 +13,7 @@
 // it is asked to apply changes.
 type Hooks struct {
 	Host    func(ctx context.Context, load func() (config.Host, error), out, errs io.Writer) error
+	Entry   func(ctx context.Context, load func() (config.Entry, error), out io.Writer) error
 	Dev     func(ctx context.Context, out, errs io.Writer) error
 	Standin func(ctx context.Context, kind, listen, options string, out io.Writer) error
 	Bench   func(ctx context.Context, options bench.Options, out io.Writer) error
--- a/cli/host.go
+++ b/cli/host.go
@@ -21,6 +21,18 @@
 	return s.hooks.Host(s.ctx, func() (config.Host, error) { return config.Load(c.Config) }, s.out, s.errs)
 }
 
+type entryCommand struct {
+	Config string `required:"" type:"existingfile" placeholder:"FILE" help:"Settings of the host."`
+}
+
+// Run runs an entry host on a platform whose endpoints register themselves until the process is asked to stop.
+func (c entryCommand) Run(s *session) error {
+	if s.hooks.Entry == nil {
+		return errors.Annotate(errNotBuilt, "cli: unable to run an entry host")
+	}
+	return s.hooks.Entry(s.ctx, func() (config.Entry, error) { return config.LoadEntry(c.Config) }, s.out)
+}
+
 type devCommand struct{}
 
 // Run runs everything in one process until it is asked to stop.
--- /dev/null
+++ b/config/entry.go
@@ -0,0 +1,130 @@
+package config
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"magnoliahoist/document"
+)
+
+// Defaults of settings that a platform states itself.
+const (
+	defaultGrace       = 8 * time.Second
+	defaultLease       = 3 * time.Second
+	defaultRetryWindow = 10 * time.Second
+	defaultLoadWindow  = 5 * time.Second
+)
+
+// Entry holds the settings of an entry host on a platform whose endpoints register themselves.
+type Entry struct {
+	Name      string            `json:"name"`
+	Domain    string            `json:"domain"`
+	Callers   string            `json:"callers"`   // listener, IP number and port
+	Ready     string            `json:"ready"`     // listener of the balancer's check
+	Peers     string            `json:"peers"`     // listener for other hosts
+	Operators string            `json:"operators"` // listener for metrics and status
+	Store     string            `json:"store"`     // address of the platform's store
+	Memory    int64             `json:"memory"`    // megabytes that the process may use
+	Files     int               `json:"files"`     // descriptors that the process may use
+	Grace     document.Duration `json:"grace"`     // between SIGTERM and the end of the process
+	Lease     document.Duration `json:"lease"`     // least time between orders of two hosts
+	Retries   Retries           `json:"retries"`
+	Loads     Loads             `json:"loads"`
+	Log       Log               `json:"log"`
+}
+
+// Retries bounds the attempts after the first, over all hosts.
+type Retries struct {
+	Share  float64           `json:"share"` // of the requests
+	Floor  float64           `json:"floor"` // attempts in a window
+	Window document.Duration `json:"window"`
+}
+
+// Loads bounds the loads from the weight store over all endpoints.
+type Loads struct {
+	Window document.Duration `json:"window"`
+	Excess float64           `json:"excess"` // factor on the rate that the configuration states
+}
+
+// DefaultEntry returns the settings that a file may leave out.
+func DefaultEntry() Entry {
+	return Entry{
+		Memory:  256,
+		Files:   1024,
+		Grace:   document.Duration(defaultGrace),
+		Lease:   document.Duration(defaultLease),
+		Retries: Retries{Share: 0.2, Floor: 10, Window: document.Duration(defaultRetryWindow)},
+		Loads:   Loads{Window: document.Duration(defaultLoadWindow), Excess: 1},
+		Log:     Log{Level: "info", Format: "json"},
+	}
+}
+
+// ParseEntry reads settings over the defaults and validates them. The error is of type document.Problems.
+func ParseEntry(data []byte) (Entry, error) {
+	e := DefaultEntry()
+	if err := document.Decode(data, &e); err != nil {
+		return Entry{}, err
+	}
+	if err := e.Validate(); err != nil {
+		return Entry{}, err
+	}
+	return e, nil
+}
+
+// LoadEntry reads the settings in a file. Problems carry the file's name.
+func LoadEntry(file string) (Entry, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Entry{}, errors.Annotate(err, "config: unable to read the settings")
+	}
+	e, err := ParseEntry(data)
+	var problems document.Problems
+	if errors.As(err, &problems) {
+		return Entry{}, problems.WithFile(file)
+	}
+	return e, err
+}
+
+// Dump writes the settings in force as JSON.
+func (e Entry) Dump() ([]byte, error) {
+	data, err := json.MarshalIndent(e, "", "  ")
+	if err != nil {
+		return nil, errors.Annotate(err, "config: unable to write the settings")
+	}
+	return append(data, '\n'), nil
+}
+
+// Validate finds everything that is wrong with the settings. The error is of type document.Problems.
+func (e Entry) Validate() error {
+	c := &document.Checker{}
+	c.Require(document.ValidName(e.Name), "name", e.Name, "a name")
+	c.Require(document.ValidName(e.Domain), "domain", e.Domain, "a name")
+	used := map[netip.AddrPort]string{}
+	for _, l := range []struct{ path, address string }{
+		{"callers", e.Callers}, {"ready", e.Ready}, {"peers", e.Peers}, {"operators", e.Operators}, {"store", e.Store},
+	} {
+		address, err := netip.ParseAddrPort(l.address)
+		c.Require(err == nil, l.path, l.address, "an IP number with a port")
+		if err != nil || address.Port() == 0 {
+			continue
+		}
+		c.Require(used[address] == "", l.path, l.address, "an address other than that of "+used[address])
+		used[address] = l.path
+	}
+	c.Require(e.Memory >= 32 && e.Memory <= 1<<20, "memory", e.Memory, "32 to 1048576 megabytes")
+	c.Require(e.Files >= 64, "files", e.Files, "64 or more")
+	c.Require(e.Grace > 0, "grace", e.Grace, e.Grace.Allowed())
+	c.Require(e.Lease > 0, "lease", e.Lease, e.Lease.Allowed())
+	c.Require(e.Retries.Share >= 0 && e.Retries.Share <= 1, "retries.share", e.Retries.Share, "0 to 1")
+	c.Require(e.Retries.Floor >= 0, "retries.floor", e.Retries.Floor, "0 or more")
+	c.Require(e.Retries.Window > 0, "retries.window", e.Retries.Window, e.Retries.Window.Allowed())
+	c.Require(e.Loads.Window > 0, "loads.window", e.Loads.Window, e.Loads.Window.Allowed())
+	c.Require(e.Loads.Excess > 0, "loads.excess", e.Loads.Excess, "a factor above 0")
+	c.Require(validLevel(e.Log.Level), "log.level", e.Log.Level, "trace, debug, info, warn or error")
+	c.Require(e.Log.Format == "text" || e.Log.Format == "json", "log.format", e.Log.Format, "text or json")
+	return c.Err()
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -32,7 +32,7 @@
 	v.require(h.Holders >= 1 && h.Holders <= 64, "holders", h.Holders)
 	v.require(h.Overcommit >= 1 && h.Overcommit <= 4, "overcommit", h.Overcommit)
 	h.Placement.check(v)
-	v.require(slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, h.Log.Level), "log.level", h.Log.Level)
+	v.require(validLevel(h.Log.Level), "log.level", h.Log.Level)
 	v.require(h.Log.Format == "text" || h.Log.Format == "json", "log.format", h.Log.Format)
 	v.require(h.Ring >= 16 && h.Ring <= 1<<20, "ring", h.Ring)
 	return v.Err()
@@ -104,6 +104,10 @@
 	v.require(lag >= 0 && lag <= time.Minute, "lag", h.Lag)
 }
 
+func validLevel(level string) bool {
+	return slices.Contains([]string{"trace", "debug", "info", "warn", "error"}, level)
+}
+
 func loopback(address string) bool {
 	parsed, err := netip.ParseAddrPort(address)
 	return err != nil || parsed.Addr().Unmap().IsLoopback() // a bad address is reported by itself
--- /dev/null
+++ b/connection/exchange.go
@@ -0,0 +1,179 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// readerSize holds the head of an answer or several events of a stream.
+	readerSize = 4 << 10
+	// directBody is the size in bytes up to which a request is written in one call. A longer body is written
+	// beside reading, because an endpoint may answer before it has read all of it.
+	directBody = 8 << 10
+	// idleMargin is left of the time for which an endpoint keeps an idle connection.
+	idleMargin = 700 * time.Millisecond
+	// maxStrays is how many answers to other requests are skipped before a connection is given up.
+	maxStrays = 2
+	// maxStrayBytes bounds the body of a skipped answer.
+	maxStrayBytes = 1 << 20
+)
+
+type reader = bufio.Reader
+
+func newReader(source io.Reader) *reader { return bufio.NewReaderSize(source, readerSize) }
+
+// Outgoing is a request as it goes over the wire.
+type Outgoing struct {
+	Address string // IP number and port
+	Owner   string // endpoint process that is meant; connections are not shared between processes
+	Method  string
+	Head    []byte // request line and header, with the empty line
+	Body    []byte
+	Most    int // connections of this host to the endpoint; 0 for no bound
+	// Mine reports whether an answer is to this request; others are skipped.
+	Mine func(*http.Response) bool
+}
+
+// Answer is an endpoint's answer. Its body must be read or closed.
+type Answer struct {
+	*http.Response
+	conn    *conn
+	stop    func() bool
+	written chan error // result of the writer, nil when the request was written at once
+	whole   bool       // the body was read to its end
+	spoiled bool       // the connection must not be used again
+}
+
+// Exchange sends a request and returns the head of the answer. The error is ErrUnsent when no byte has left,
+// ErrFull when no connection may be opened, ErrBroken otherwise; the context's end breaks the exchange off.
+func (p *Pool) Exchange(ctx context.Context, out Outgoing) (*Answer, error) {
+	c, err := p.take(ctx, out.Address, out.Owner, out.Most)
+	if err != nil {
+		return nil, err
+	}
+	a := &Answer{conn: c}
+	a.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	if err := a.write(out); err != nil {
+		a.abandon()
+		return nil, err
+	}
+	if err := a.readHead(out); err != nil {
+		a.abandon()
+		return nil, errors.WithType(errors.Annotate(err, "connection: unable to read the answer"), ErrBroken)
+	}
+	return a, nil
+}
+
+// write sends the request, a long body beside the reading of the answer.
+func (a *Answer) write(out Outgoing) error {
+	if len(out.Body) > directBody {
+		a.written = make(chan error, 1)
+		go func() {
+			_, err := a.conn.Write(append(out.Head, out.Body...))
+			a.written <- err
+		}()
+		return nil
+	}
+	n, err := a.conn.Write(append(out.Head, out.Body...))
+	if err == nil {
+		return nil
+	}
+	kind := ErrBroken
+	if n == 0 {
+		kind = ErrUnsent
+	}
+	return errors.WithType(errors.Annotate(err, "connection: unable to write the request"), kind)
+}
+
+// readHead reads the head of the answer and skips answers to other requests.
+func (a *Answer) readHead(out Outgoing) error {
+	request := &http.Request{Method: out.Method}
+	for strays := 0; strays <= maxStrays; {
+		response, err := http.ReadResponse(a.conn.reader, request)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if out.Mine == nil || out.Mine(response) {
+			a.Response = response
+			return nil
+		}
+		a.spoiled = true
+		strays++
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil || response.Close {
+			return errors.New("answer to another request")
+		}
+	}
+	return errors.New("answers to other requests")
+}
+
+// Read reads the body.
+func (a *Answer) Read(buffer []byte) (int, error) {
+	n, err := a.Response.Body.Read(buffer)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Buffered reports whether more of the body can be read without waiting.
+func (a *Answer) Buffered() bool { return a.conn.reader.Buffered() > 0 }
+
+// Spoil makes Close close the connection.
+func (a *Answer) Spoil() { a.spoiled = true }
+
+// Close keeps the connection for later exchanges when the answer was read to its end, and closes it otherwise.
+func (a *Answer) Close() {
+	if !a.whole || a.spoiled || a.Response.Close || a.conn.reader.Buffered() > 0 || !a.hasWritten() {
+		a.abandon()
+		return
+	}
+	if !a.stop() {
+		a.conn.discard() // the context has ended meanwhile
+		return
+	}
+	a.conn.keep(idleLife(a.Response.Header, a.conn.pool.settings.Idle))
+}
+
+// hasWritten reports whether the whole request has been written.
+func (a *Answer) hasWritten() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// abandon closes the connection.
+func (a *Answer) abandon() {
+	a.stop()
+	a.conn.discard()
+}
+
+// idleLife returns how long a connection may stay idle by what the endpoint says.
+func idleLife(header http.Header, unstated time.Duration) time.Duration {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(seconds)*time.Second - idleMargin
+		}
+	}
+	return unstated
+}
--- /dev/null
+++ b/dispatch/node.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"time"
+
+	"magnoliahoist/directory"
+)
+
+const (
+	// readRate is the prompt tokens that a model engine reads in a second while it also decodes. The slowness
+	// that is learned for each endpoint corrects it.
+	readRate = 17_000.0
+	// leastBacklog is the part of the prompts without a first token that counts as unread however long ago they
+	// were sent, because an engine that is silent has not read them.
+	leastBacklog = 0.3
+	// slowWeight is the weight of a new observation of an endpoint's slowness.
+	slowWeight = 0.2
+	// observedLife is how long the load reported by other hosts counts; reports come several times in it.
+	observedLife = 2 * time.Second
+	// failuresToEject in a row leave an endpoint out for ejection, doubled each time up to ejectionLimit.
+	failuresToEject = 3
+	ejection        = 500 * time.Millisecond
+	ejectionLimit   = 4 * time.Second
+	// fetchPatience is how long an adapter order may take before it is asked for again.
+	fetchPatience = time.Second
+)
+
+// adapterKey names an adapter of a model.
+type adapterKey struct{ model, adapter string }
+
+// fetch is the state of an adapter that was asked for.
+type fetch struct {
+	asked  time.Duration
+	loaded bool // it was loaded, though the registration doesn't show it yet
+}
+
+// node is what the host knows of one endpoint process.
+type node struct {
+	directory.Endpoint
+	hash     uint64
+	models   map[string]bool
+	adapters map[adapterKey]bool
+	fetches  map[adapterKey]fetch
+	used     map[adapterKey]time.Duration
+	running  int   // attempts of this host
+	unread   int64 // prompt tokens of attempts without a first token
+	backlog  float64
+	at       time.Duration // of backlog
+	others   Load
+	othersAt time.Duration
+	slow     float64 // measured against estimated time to the first token
+	failures int     // in a row
+	ejected  time.Duration
+	until    time.Duration // end of the ejection
+	absent   map[string]time.Duration
+	cache    *cache
+}
+
+func newNode(now time.Duration, e directory.Endpoint) *node {
+	return &node{
+		Endpoint: e,
+		hash:     hashText(e.ID),
+		at:       now,
+		slow:     1,
+		fetches:  map[adapterKey]fetch{},
+		used:     map[adapterKey]time.Duration{},
+		absent:   map[string]time.Duration{},
+		cache:    newCache(),
+	}
+}
+
+// hashText returns a hash that is the same on all hosts.
+func hashText(text string) uint64 {
+	h := uint64(14695981039346656037) // FNV-1a
+	for i := 0; i < len(text); i++ {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	return mix(h)
+}
+
+// mix spreads the bits of a number (splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// register takes what the endpoint says of itself.
+func (n *node) register(now time.Duration, e directory.Endpoint) {
+	n.Endpoint = e
+	n.models = make(map[string]bool, len(e.Models))
+	n.adapters = map[adapterKey]bool{}
+	for _, m := range e.Models {
+		n.models[m.Name] = true
+		for _, a := range m.Adapters {
+			n.adapters[adapterKey{m.Name, a}] = true
+		}
+	}
+	for k, f := range n.fetches {
+		if n.adapters[k] || f.loaded && now-f.asked > 3*fetchPatience {
+			delete(n.fetches, k)
+		}
+	}
+}
+
+// holds reports whether the endpoint serves a model now.
+func (n *node) holds(now time.Duration, model string) bool {
+	if !n.models[model] {
+		return false
+	}
+	since, missing := n.absent[model]
+	return !missing || now-since > absentLife
+}
+
+// absentLife is how long a model counts as absent after the endpoint said so; its registration follows within that.
+const absentLife = 2500 * time.Millisecond
+
+// hasAdapter reports whether the adapter is resident as far as known.
+func (n *node) hasAdapter(k adapterKey) bool {
+	return k.adapter == "" || n.adapters[k] || n.fetches[k].loaded
+}
+
+// usable reports whether the endpoint may get work.
+func (n *node) usable(now time.Duration) bool { return !n.Leaving && now >= n.until }
+
+// backlogAt returns the prompt tokens of this host that the endpoint has not read.
+func (n *node) backlogAt(now time.Duration) float64 {
+	rate := readRate / n.slow
+	left := n.backlog - rate*(now-n.at).Seconds()
+	return max(min(left, float64(n.unread)), leastBacklog*float64(n.unread))
+}
+
+// othersBacklog returns the unread prompt tokens of other hosts.
+func (n *node) othersBacklog(now time.Duration) float64 {
+	age := now - n.othersAt
+	if age > observedLife {
+		return 0
+	}
+	return max(float64(n.others.Backlog)-readRate/n.slow*age.Seconds(), 0)
+}
+
+// othersRunning returns the attempts of other hosts.
+func (n *node) othersRunning(now time.Duration) int {
+	if now-n.othersAt > observedLife {
+		return 0
+	}
+	return n.others.Running
+}
+
+func (n *node) observe(now time.Duration, l Load) { n.others, n.othersAt = l, now }
+
+// start counts an attempt that has prompt tokens to read.
+func (n *node) start(now time.Duration, unread int64) {
+	n.backlog = n.backlogAt(now) + float64(unread)
+	n.at = now
+	n.running++
+	n.unread += unread
+}
+
+// read says that the prompt of an attempt has been read.
+func (n *node) read(now time.Duration, unread int64) {
+	n.backlog = n.backlogAt(now)
+	n.at = now
+	n.unread = max(n.unread-unread, 0)
+}
+
+// finish counts the end of an attempt.
+func (n *node) finish(now time.Duration, outcome Outcome) {
+	n.running = max(n.running-1, 0)
+	switch outcome {
+	case Done:
+		n.failures, n.ejected = 0, 0
+	case Failure, Lost, Silent, Unsent:
+		n.fail(now, outcome)
+	case Misplaced, Refused, Cancelled:
+	}
+}
+
+// fail counts a failure and ejects the endpoint after some in a row, at once when it doesn't take connections.
+func (n *node) fail(now time.Duration, outcome Outcome) {
+	n.failures++
+	if n.failures < failuresToEject && outcome != Unsent {
+		return
+	}
+	n.ejected = min(max(2*n.ejected, ejection), ejectionLimit)
+	n.until = now + n.ejected
+	n.failures = failuresToEject - 1 // one more failure ejects again
+}
+
+// learn takes the measured against the estimated time to the first token.
+func (n *node) learn(measured, estimated time.Duration) {
+	if estimated <= 0 {
+		return
+	}
+	ratio := min(max(float64(measured)/float64(estimated)*n.slow, 0.5), 20)
+	n.slow += slowWeight * (ratio - n.slow)
+}
--- /dev/null
+++ b/dispatch/reason.go
@@ -0,0 +1,45 @@
+package dispatch
+
+//go:generate go tool stringer -type=Reason,Ran,Outcome -linecomment -output=reason_string.go
+
+// Reason says why a request was refused.
+type Reason int
+
+// Reasons of refusals.
+const (
+	NotReady     Reason = iota // not ready
+	UnknownRoute               // unknown route
+	UnknownKey                 // unknown key
+	RateLimited                // rate limited
+	NoEndpoint                 // no endpoint
+	NoModel                    // no endpoint with the model
+	Overloaded                 // overloaded
+	TimedOut                   // timed out
+	Rejected                   // rejected by the endpoint
+	Broken                     // attempt failed
+	Stopping                   // host is stopping
+)
+
+// Ran says whether a refused request was run.
+type Ran int
+
+// Whether a request was run. RanNo is a promise.
+const (
+	RanNo      Ran = iota // no
+	RanUnknown            // unknown
+)
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// Outcomes of attempts.
+const (
+	Done      Outcome = iota // done
+	Failure                  // the endpoint answered with a failure
+	Refused                  // refused as not run
+	Misplaced                // another process answers, or the model is absent; not run
+	Unsent                   // nothing was sent
+	Lost                     // sent without a usable answer
+	Silent                   // no answer in time
+	Cancelled                // the caller left or its time was over
+)
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"magnoliahoist/connection"
+	"magnoliahoist/dispatch"
+	"magnoliahoist/platform"
+)
+
+// maxAnswerBytes bounds an answer that is held before it is handed to the caller.
+const maxAnswerBytes = 16 << 20
+
+// errSilent ends an attempt that got no answer in time.
+const errSilent = errors.ConstError("endpoint is silent")
+
+// wholeAnswer is an endpoint's complete answer.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write hands the answer to the caller and returns its status.
+func (a *wholeAnswer) write(w http.ResponseWriter) int {
+	platform.CopyAnswerHeader(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	w.Write(a.body)
+	return a.status
+}
+
+// attempt sends a request to one endpoint and hands its answer to the caller. It reports whether the request has
+// been answered.
+func (h *Host) attempt(parent context.Context, t *task, send dispatch.Send) bool {
+	t.last = send
+	finished := dispatch.Finished{Number: t.number}
+	left := send.Until - h.Now()
+	if left <= 0 {
+		h.end(parent, t)
+		return true
+	}
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	if send.Silence > 0 {
+		timer := time.AfterFunc(send.Silence, func() { cancel(errSilent) })
+		defer timer.Stop()
+	}
+	started := h.Now()
+	answer, err := h.connections.Exchange(ctx, platform.EncodeAttempt(t.request, send, left, t.resume))
+	if err != nil {
+		return h.failed(parent, ctx, t, err)
+	}
+	defer answer.Close()
+	finished.Took = h.Now() - started
+	verdict := platform.Judge(answer.Response)
+	finished.Outcome, finished.Back = verdict.Outcome, verdict.Back
+	if !verdict.Usable {
+		h.discard(answer, verdict.Outcome)
+		h.finish(t, finished)
+		return false
+	}
+	if send.Route.Stream && answer.StatusCode == http.StatusOK {
+		return h.stream(parent, ctx, t, answer)
+	}
+	return h.whole(parent, ctx, t, answer, finished)
+}
+
+// discard reads the short answer of an endpoint that did not run the request, so that the connection can be used
+// again. A connection with an answer that is not the endpoint's own is closed.
+func (h *Host) discard(answer *connection.Answer, outcome dispatch.Outcome) {
+	if outcome == dispatch.Lost {
+		answer.Spoil()
+		return
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(answer, maxAnswerBytes)); err != nil {
+		h.log.Debug("entry: unable to read a refusal", "error", err)
+	}
+}
+
+// finish reports the end of an attempt.
+func (h *Host) finish(t *task, f dispatch.Finished) {
+	if f.Outcome != dispatch.Done {
+		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.last.Attempt, "endpoint", t.last.Endpoint.ID,
+			"outcome", f.Outcome, "took", f.Took, "begun", t.begun)
+	}
+	h.Apply(f)
+}
+
+// failed ends an attempt without a usable answer.
+func (h *Host) failed(parent, ctx context.Context, t *task, err error) bool {
+	if parent.Err() != nil {
+		h.end(parent, t)
+		return true
+	}
+	f := dispatch.Finished{Number: t.number, Outcome: dispatch.Lost}
+	switch {
+	case errors.Is(err, connection.ErrUnsent):
+		f.Outcome = dispatch.Unsent
+	case errors.Is(err, connection.ErrFull):
+		f.Outcome = dispatch.Refused
+	case errors.Is(context.Cause(ctx), errSilent):
+		f.Outcome = dispatch.Silent
+	}
+	h.finish(t, f)
+	return false
+}
+
+// whole reads a complete answer before it hands it over, so that one cut short never reaches the caller.
+func (h *Host) whole(parent, ctx context.Context, t *task, answer *connection.Answer, f dispatch.Finished) bool {
+	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
+	if err != nil || len(body) > maxAnswerBytes {
+		return h.failed(parent, ctx, t, errors.Annotate(connection.ErrBroken, "entry: unable to read an answer"))
+	}
+	got := &wholeAnswer{status: answer.StatusCode, header: answer.Header, body: body}
+	if f.Outcome == dispatch.Failure {
+		t.held = got
+		h.finish(t, f)
+		return false
+	}
+	h.finish(t, f)
+	status := got.write(t.writer)
+	h.log.Info("entry: answered", "request", t.request.ID, "status", status, "endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt,
+		"after", h.Now()-t.arrived, "took", f.Took)
+	return true
+}
+
+// stream hands the events of a stream over as they come.
+func (h *Host) stream(parent, ctx context.Context, t *task, answer *connection.Answer) bool {
+	w := t.writer
+	control := http.NewResponseController(w)
+	if !t.begun {
+		platform.CopyAnswerHeader(w.Header(), answer.Header)
+		if err := control.SetWriteDeadline(time.Now().Add(t.until - h.Now() + writeSlack)); err != nil {
+			h.log.Warn("entry: unable to bound writing", "request", t.request.ID, "error", err)
+		}
+	}
+	var events eventBuffer
+	buffer := make([]byte, 4<<10)
+	reported := false
+	for {
+		n, err := answer.Read(buffer)
+		if whole := events.add(buffer[:n]); len(whole) > 0 {
+			if !reported {
+				reported = true
+				h.Apply(dispatch.First{Number: t.number})
+			}
+			t.begun = true
+			if _, failed := w.Write(whole); failed != nil {
+				h.Apply(dispatch.Left{Number: t.number})
+				return true
+			}
+			if failed := control.Flush(); failed != nil {
+				h.Apply(dispatch.Left{Number: t.number})
+				return true
+			}
+			if events.last != "" {
+				t.resume = events.last
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF && events.empty() {
+			return h.streamed(t, answer)
+		}
+		return h.broken(parent, ctx, t)
+	}
+}
+
+// streamed ends a stream that is complete.
+func (h *Host) streamed(t *task, answer *connection.Answer) bool {
+	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true})
+	if !t.begun {
+		t.writer.WriteHeader(answer.StatusCode)
+	}
+	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
+		"attempt", t.last.Attempt, "after", h.Now()-t.arrived, "last", t.resume)
+	return true
+}
+
+// broken ends an attempt whose stream broke off. Another endpoint may go on where the route allows it.
+func (h *Host) broken(parent, ctx context.Context, t *task) bool {
+	if parent.Err() != nil {
+		h.end(parent, t)
+		return true
+	}
+	outcome := dispatch.Lost
+	if errors.Is(context.Cause(ctx), errSilent) {
+		outcome = dispatch.Silent
+	}
+	h.finish(t, dispatch.Finished{Number: t.number, Outcome: outcome})
+	return false
+}
+
+// eventBuffer cuts the bytes of a stream into whole events.
+type eventBuffer struct {
+	pending []byte
+	last    string // id of the last whole event
+}
+
+// empty reports whether no part of an event is pending.
+func (b *eventBuffer) empty() bool { return len(b.pending) == 0 }
+
+// add takes bytes and returns those up to the end of the last whole event, valid until the next call.
+func (b *eventBuffer) add(data []byte) []byte {
+	if len(data) == 0 {
+		return nil
+	}
+	all := data
+	if len(b.pending) > 0 {
+		all = append(b.pending, data...)
+	}
+	end := strings.LastIndex(string(all), "\n\n")
+	if end < 0 {
+		b.pending = append([]byte(nil), all...)
+		return nil
+	}
+	whole := all[:end+2]
+	b.pending = append([]byte(nil), all[end+2:]...)
+	b.note(whole)
+	return whole
+}
+
+// note remembers the id of the last event.
+func (b *eventBuffer) note(whole []byte) {
+	at := strings.LastIndex(string(whole), "id:")
+	if at < 0 || at > 0 && whole[at-1] != '\n' {
+		return
+	}
+	line, _, _ := strings.Cut(string(whole[at+len("id:"):]), "\n")
+	b.last = strings.TrimSpace(line)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,159 @@
+// Package entry runs an entry host on a platform whose endpoints register themselves: it owns the state, carries
+// out its effects and runs the listeners.
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gopkg.in/tomb.v2"
+
+	"magnoliahoist/catalog"
+	"magnoliahoist/config"
+	"magnoliahoist/connection"
+	"magnoliahoist/directory"
+	"magnoliahoist/dispatch"
+	"magnoliahoist/platform"
+)
+
+const (
+	// connectTimeout bounds a new connection to an endpoint; links between failure domains take milliseconds.
+	connectTimeout = 400 * time.Millisecond
+	// idleTimeout is how long an unused connection is kept when the endpoint states no time.
+	idleTimeout = 3 * time.Second
+	// silenceTimeout is how long bytes to an endpoint may stay unacknowledged.
+	silenceTimeout = 2 * time.Second
+	// retryMargin is the part of the fleet's retry budget that is used, because hosts don't know each other's use.
+	retryMargin = 0.6
+)
+
+// Host is one entry host.
+type Host struct {
+	settings    config.Entry
+	start       time.Time
+	log         hclog.Logger
+	store       *platform.Store
+	connections *connection.Pool
+	tomb        tomb.Tomb
+	numbers     atomic.Uint64
+
+	mu        sync.Mutex
+	state     *dispatch.State
+	directory *directory.Directory
+	waiting   map[uint64]chan dispatch.Effect
+
+	catalog atomic.Pointer[catalog.Catalog]
+	ready   atomic.Bool
+	stop    stopping
+
+	callers *server
+	checks  *server
+}
+
+// inboxSize is more than the effects that a request can get before it takes one.
+const inboxSize = 8
+
+// New returns a host that does not run yet.
+func New(settings config.Entry, log hclog.Logger) *Host {
+	h := &Host{
+		settings:  settings,
+		start:     time.Now(),
+		log:       log.Named("entry"),
+		store:     platform.NewStore(settings.Store),
+		directory: directory.New(),
+		waiting:   map[uint64]chan dispatch.Effect{},
+		connections: connection.New(connection.Settings{
+			Connect: connectTimeout,
+			Idle:    idleTimeout,
+			Silence: silenceTimeout,
+		}),
+		state: dispatch.New(dispatch.Settings{
+			Host:        settings.Name,
+			Domain:      settings.Domain,
+			RetryShare:  settings.Retries.Share * retryMargin,
+			RetryWindow: settings.Retries.Window.Std(),
+		}),
+	}
+	h.stop.began = make(chan struct{})
+	return h
+}
+
+// Now returns the monotonic time since the process started.
+func (h *Host) Now() time.Duration { return time.Since(h.start) }
+
+// Done is closed when the host has stopped.
+func (h *Host) Done() <-chan struct{} { return h.tomb.Dead() }
+
+// open takes a request; its effects come over the channel. It returns the end of the request's time.
+func (h *Host) open(arrive dispatch.Arrive) (<-chan dispatch.Effect, time.Duration) {
+	inbox := make(chan dispatch.Effect, inboxSize)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.waiting[arrive.Number] = inbox
+	h.apply(arrive)
+	return inbox, h.state.Deadline(arrive.Number)
+}
+
+// close forgets a request.
+func (h *Host) close(number uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.waiting, number)
+}
+
+// Apply reports an event to the reducer and carries out what follows.
+func (h *Host) Apply(event dispatch.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.apply(event)
+}
+
+// apply is Apply for callers that hold the lock. Nothing in it blocks.
+func (h *Host) apply(event dispatch.Event) {
+	for _, effect := range h.state.Apply(h.Now(), event) {
+		h.carry(effect)
+	}
+	h.ready.Store(h.state.Ready())
+}
+
+// carry starts an effect; what may block runs in its own goroutine.
+func (h *Host) carry(effect dispatch.Effect) {
+	switch e := effect.(type) {
+	case dispatch.Send:
+		h.deliver(e.Number, e)
+	case dispatch.Refuse:
+		h.deliver(e.Number, e)
+	case dispatch.Borrow, dispatch.Repay, dispatch.Fetch, dispatch.Lend:
+	}
+}
+
+// deliver hands an effect to the goroutine of its request.
+func (h *Host) deliver(number uint64, effect dispatch.Effect) {
+	inbox, known := h.waiting[number]
+	if !known {
+		return
+	}
+	select {
+	case inbox <- effect:
+	default:
+		h.log.Error("entry: unable to deliver an effect", "number", number)
+	}
+}
+
+// every does the work at each period until the host stops.
+func (h *Host) every(period time.Duration, work func(ctx context.Context)) error {
+	ctx := h.tomb.Context(context.Background())
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.tomb.Dying():
+			return nil
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/entry/follow.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"magnoliahoist/directory"
+	"magnoliahoist/dispatch"
+	"magnoliahoist/platform"
+	"magnoliahoist/table"
+)
+
+const (
+	// feedWait is how long a call for changes may wait at the store; every call is paid for.
+	feedWait = 20 * time.Second
+	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
+	feedPause      = 100 * time.Millisecond
+	feedPauseLimit = 800 * time.Millisecond
+)
+
+// follower keeps a copy of one table of the store.
+type follower struct {
+	name string
+	// replace takes all rows, change those that were changed.
+	replace func(rows []table.Row)
+	change  func(rows []table.Row)
+	// lost and regained tell of the store's absence; they may be nil.
+	lost, regained func()
+}
+
+// follow keeps a table's copy current until the host stops.
+func (h *Host) follow(f follower) error {
+	ctx := h.tomb.Context(context.Background())
+	revision, away, pause := int64(0), false, feedPause
+	whole := true
+	for {
+		snapshot, err := h.changes(ctx, f, revision, whole)
+		select {
+		case <-h.tomb.Dying():
+			return nil
+		default:
+		}
+		if errors.Is(err, table.ErrCompacted) {
+			h.log.Warn("entry: history of the table is gone, reading it whole", "table", f.name, "revision", revision)
+			whole = true
+			continue
+		}
+		if err != nil {
+			if !away {
+				away = true
+				h.log.Warn("entry: lost the store", "table", f.name, "revision", revision, "error", err)
+				call(f.lost)
+			}
+			h.sleep(pause)
+			pause = min(2*pause, feedPauseLimit)
+			continue
+		}
+		if away {
+			away, pause = false, feedPause
+			h.log.Info("entry: regained the store", "table", f.name, "revision", snapshot.Revision)
+			call(f.regained)
+		}
+		if snapshot.Revision < revision {
+			h.log.Warn("entry: the store answered with an older state", "table", f.name, "revision", revision, "answered", snapshot.Revision)
+			h.sleep(feedPause)
+			continue
+		}
+		revision = snapshot.Revision
+		if whole {
+			f.replace(snapshot.Rows)
+			whole = false
+			continue
+		}
+		if len(snapshot.Rows) > 0 {
+			f.change(snapshot.Rows)
+		}
+	}
+}
+
+func call(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
+func (h *Host) changes(ctx context.Context, f follower, revision int64, whole bool) (table.Snapshot, error) {
+	if whole {
+		return h.store.ReadAll(ctx, f.name)
+	}
+	return h.store.Follow(ctx, f.name, revision, feedWait)
+}
+
+// sleep waits, but not beyond the host's end.
+func (h *Host) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-h.tomb.Dying():
+	case <-timer.C:
+	}
+}
+
+// followOperator follows the operator's configuration.
+func (h *Host) followOperator() error {
+	return h.follow(follower{name: platform.OperatorTable, replace: h.configure, change: h.configure})
+}
+
+// configure puts the newest configuration among the rows in force.
+func (h *Host) configure(rows []table.Row) {
+	for _, row := range rows {
+		c, is, err := platform.DecodeConfiguration(row)
+		if !is {
+			continue
+		}
+		if err != nil {
+			h.log.Error("entry: unable to use a configuration", "revision", row.Revision, "error", err)
+			continue
+		}
+		known := h.catalog.Load()
+		if known != nil && c.Version() <= known.Version() {
+			continue
+		}
+		h.mu.Lock()
+		h.catalog.Store(c)
+		h.apply(dispatch.Configured{Catalog: c})
+		h.mu.Unlock()
+		h.log.Info("entry: configuration in force", "version", c.Version(), "revision", row.Revision)
+	}
+}
+
+// followEndpoints follows the registrations of endpoints.
+func (h *Host) followEndpoints() error {
+	return h.follow(follower{
+		name: platform.EndpointTable,
+		replace: func(rows []table.Row) {
+			var all []directory.Endpoint
+			for _, c := range h.registrations(rows) {
+				if !c.Removed {
+					all = append(all, c.Endpoint)
+				}
+			}
+			h.register(func(d *directory.Directory) { d.Replace(h.Now(), all) })
+		},
+		change: func(rows []table.Row) {
+			changes := h.registrations(rows)
+			h.register(func(d *directory.Directory) { d.Apply(h.Now(), changes) })
+		},
+		lost:     func() { h.register(func(d *directory.Directory) { d.Lose(h.Now()) }) },
+		regained: func() { h.register(func(d *directory.Directory) { d.Regain(h.Now()) }) },
+	})
+}
+
+// registrations decodes rows. A row that can't be read names no endpoint to use.
+func (h *Host) registrations(rows []table.Row) []directory.Change {
+	changes := make([]directory.Change, 0, len(rows))
+	for _, row := range rows {
+		c, err := platform.DecodeRegistration(row)
+		if err != nil {
+			h.log.Warn("entry: unable to use a registration", "row", row.Key, "revision", row.Revision, "error", err)
+			continue
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+// register changes the directory and tells the reducer of it.
+func (h *Host) register(change func(d *directory.Directory)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change(h.directory)
+	h.apply(dispatch.Registered{Endpoints: h.directory.Endpoints()})
+}
+
+// sweep gives up registrations that lapsed and closes idle connections whose time is over.
+func (h *Host) sweep(context.Context) {
+	h.mu.Lock()
+	if h.directory.Sweep(h.Now()) {
+		h.apply(dispatch.Registered{Endpoints: h.directory.Endpoints()})
+	}
+	if h.state.Waiting() > 0 {
+		h.apply(dispatch.Tick{})
+	}
+	h.mu.Unlock()
+	h.connections.Sweep()
+}
--- a/table/table.go
+++ b/table/table.go
@@ -8,6 +8,7 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	Deleted  bool // only in feeds of changes
 }
 
 // Snapshot holds rows as of Revision.
@@ -43,7 +44,13 @@
 }
 
 // ErrNotSent means that the write did not and will not take effect.
-var ErrNotSent error = errors.ConstError("write was not carried out")
+const ErrNotSent = errors.ConstError("write was not carried out")
 
 // ErrUnknown means that the write may have taken effect or may do so later.
-var ErrUnknown error = errors.ConstError("outcome of the write is unknown")
+const ErrUnknown = errors.ConstError("outcome of the write is unknown")
+
+// ErrUnavailable means that the table service did not answer a read.
+const ErrUnavailable = errors.ConstError("table service is unavailable")
+
+// ErrCompacted means that the history after a revision is gone, so that the rows must be read whole.
+const ErrCompacted = errors.ConstError("history is compacted")
