residency, lease, dispatch: load models and adapters, borrow allowances, refuse what can't be served

Cause: the first path used only what engines held at the start, and each host kept a fixed fifth of every allowance.

Change: one renewed lease a pool, read only while its holder does not answer; a planner that orders under the number of accepted orders; hosts exchange demand and load with the holder only; loans between hosts; estimates by urgency with a late lane; no waiting where no endpoint can serve.

Conclusion: what binds now is the gap without a holder after a cut from the store, and refusals while a model is loaded.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -34,7 +34,6 @@
 	Models   []Model
 	Memory   []string // models kept in host memory
 	Disk     []string // models kept on disk
-	Sequence int64    // orders accepted
 }
 
 // Same reports whether two registrations are of one process: an endpoint may start again under its id.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -19,6 +19,12 @@
 	// overfill bounds the requests at an endpoint against its slots. The engine queues what exceeds the slots,
 	// by urgency, and refuses beyond twice that.
 	overfill = 1.25
+	// goalShare is the part of its goal within which a request must be expected to be answered to count as in time.
+	goalShare = 0.9
+	// patienceShare is the part of its caller's patience within which a late request must be expected to be answered.
+	patienceShare = 0.75
+	// lateCost puts endpoints where a request would be late behind all others.
+	lateCost = time.Minute
 	// serviceTime is the assumed time of a call, used to weigh load against distance.
 	serviceTime = 30 * time.Millisecond
 )
@@ -27,6 +33,7 @@
 type choice struct {
 	node   *node
 	wait   time.Duration // estimate of the first answer
+	level  int           // of urgency
 	unread int64         // prompt tokens that the endpoint has to read
 	fetch  bool          // the adapter must be fetched first
 }
@@ -85,7 +92,7 @@
 		r.pieces = chain(g)
 	}
 	best, reason := choice{}, NoModel
-	key := adapterKey{g.Model, g.Adapter}
+	key := Adapter{g.Model, g.Adapter}
 	home := s.home(now, p, r, g)
 	lowest := time.Duration(0)
 	for _, n := range p.ordered {
@@ -100,11 +107,21 @@
 			reason = Overloaded
 			continue
 		}
-		c := s.estimate(now, n, r, g, key)
+		if !n.hasAdapter(key) && !p.orderable {
+			continue
+		}
+		c, inTime := s.estimate(now, n, r, g, key)
+		if !inTime {
+			reason = Overloaded
+			continue
+		}
 		score := c.wait + s.distance(n) + crowdCost*time.Duration(n.running+n.othersRunning(now))/time.Duration(max(n.Slots, 1))
 		if n == home {
 			score -= homeGain
 		}
+		if c.level == lateLevel {
+			score += lateCost
+		}
 		if best.node == nil || score < lowest {
 			best, lowest = c, score
 		}
@@ -112,16 +129,38 @@
 	return best, reason
 }
 
-// estimate returns the time to the first token at an endpoint.
-func (s *State) estimate(now time.Duration, n *node, r *request, g intake.Generation, key adapterKey) choice {
-	c := choice{node: n, unread: max(g.Prompt-n.cache.kept(r.pieces), 1)}
-	tokens := n.backlogAt(now) + n.othersBacklog(now) + float64(c.unread)
-	c.wait = time.Duration(tokens / readRate * n.slow * float64(time.Second))
+// estimate returns the time to the first token at an endpoint, and whether it comes before the caller leaves. A
+// request that can't be answered within its goal is read after all others that can.
+func (s *State) estimate(now time.Duration, n *node, r *request, g intake.Generation, key Adapter) (choice, bool) {
+	c := choice{node: n, level: levelOf(r.route.Priority), unread: max(g.Prompt-n.cache.kept(r.pieces), 1)}
 	if !n.hasAdapter(key) {
 		c.fetch = true
-		c.wait += fetchCost
 	}
-	return c
+	c.wait = s.firstToken(now, n, c)
+	left := r.arrived - now
+	if r.route.Goal <= 0 || c.wait <= left+time.Duration(goalShare*float64(r.route.Goal)) {
+		return c, true
+	}
+	c.level = lateLevel
+	c.wait = s.firstToken(now, n, c)
+	return c, c.wait <= left+lateShare(r)
+}
+
+// firstToken estimates the time until an endpoint has read a prompt at the level of a choice.
+func (s *State) firstToken(now time.Duration, n *node, c choice) time.Duration {
+	tokens := n.backlogBefore(now, c.level) + n.othersBefore(now, c.level) + float64(c.unread)
+	wait := time.Duration(tokens / readRate * n.slow * float64(time.Second))
+	if c.fetch {
+		wait += fetchCost
+	}
+	return wait
+}
+
+// lateShare returns how long after its arrival a late request may get its first token. Callers leave a stream after a
+// silence of two seconds, four times the goal or eight times the longest pause, whichever is longest.
+func lateShare(r *request) time.Duration {
+	stays := max(2*time.Second, 4*r.route.Goal, 8*r.route.Pause)
+	return time.Duration(patienceShare * float64(min(stays, r.deadline-r.arrived)))
 }
 
 // home returns the endpoint that the rendezvous hash of the request's adapter or session names.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,7 +40,9 @@
 	ordered []*node          // in ascending order of their ids
 	queue   *queue.Queue
 	budget  budget
-	demand  map[string]float64 // prompt tokens asked of each model since the last Demand
+	// orderable says that adapters can be ordered.
+	orderable bool
+	demand    map[string]float64 // prompt tokens asked of each model since the last Demand
 }
 
 // account is what the host keeps of one client account.
@@ -94,6 +96,9 @@
 		s.fetched(now, e)
 	case Observed:
 		s.observed(now, e)
+	case Orderable:
+		s.poolByName(e.Pool).orderable = e.Possible
+		s.dispatchAll(now)
 	}
 	return s.effects
 }
@@ -209,7 +214,8 @@
 	return demand
 }
 
-// Loads returns what this host has under way at the endpoints of a pool.
+// Loads returns what this host has under way at the endpoints of a pool, and the adapters that its attempts have
+// used since the last call.
 func (s *State) Loads(now time.Duration, name string) []Load {
 	p := s.pools[name]
 	if p == nil {
@@ -217,9 +223,19 @@
 	}
 	var loads []Load
 	for _, n := range p.ordered {
-		if n.running > 0 {
-			loads = append(loads, Load{Endpoint: n.ID, Running: n.running, Backlog: int64(n.backlogAt(now))})
+		if n.running == 0 && len(n.used) == 0 {
+			continue
 		}
+		l := Load{Endpoint: n.ID, Running: n.running}
+		n.drain(now)
+		for level, tokens := range n.backlog {
+			l.Backlog[level] = int64(tokens)
+		}
+		for a := range n.used {
+			l.Used = append(l.Used, a)
+		}
+		clear(n.used)
+		loads = append(loads, l)
 	}
 	return loads
 }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -91,11 +91,43 @@
 	Loaded   bool
 }
 
-// Load is what other hosts have under way at an endpoint.
+// Adapter is an adapter of a model.
+type Adapter struct{ Model, Adapter string }
+
+// levels is the number of urgencies that are told apart. The last one is for requests that are expected to be late.
+const (
+	levels    = 4
+	lateLevel = levels - 1
+)
+
+// Backlog is a number of tokens by urgency, the most urgent first.
+type Backlog [levels]int64
+
+// Before returns the tokens that are read before those of a request at the level.
+func (b Backlog) Before(level int) int64 {
+	sum := int64(0)
+	for _, tokens := range b[:level+1] {
+		sum += tokens
+	}
+	return sum
+}
+
+// levelOf returns the level of a priority.
+func levelOf(priority int) int { return min(max(priority, 0), lateLevel-1) }
+
+// Load is what hosts have under way at an endpoint.
 type Load struct {
 	Endpoint string
 	Running  int
-	Backlog  int64 // prompt tokens that have not been read
+	Backlog  Backlog   // prompt tokens that have not been read
+	Retiring string    // model that must not be used any more
+	Used     []Adapter // adapters that attempts have used since the last report
+}
+
+// Orderable says whether adapters can be ordered for a pool now.
+type Orderable struct {
+	Pool     string
+	Possible bool
 }
 
 // Observed is the load that other hosts put on the endpoints of a pool.
@@ -118,3 +150,4 @@
 func (Repaid) isEvent()     {}
 func (Fetched) isEvent()    {}
 func (Observed) isEvent()   {}
+func (Orderable) isEvent()  {}
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -55,8 +55,8 @@
 	switch e.Outcome {
 	case Misplaced:
 		if g.Adapter != "" {
-			delete(n.adapters, adapterKey{g.Model, g.Adapter})
-			delete(n.fetches, adapterKey{g.Model, g.Adapter})
+			delete(n.adapters, Adapter{g.Model, g.Adapter})
+			delete(n.fetches, Adapter{g.Model, g.Adapter})
 			return
 		}
 		n.absent[g.Model] = now
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -25,9 +25,6 @@
 	fetchPatience = time.Second
 )
 
-// adapterKey names an adapter of a model.
-type adapterKey struct{ model, adapter string }
-
 // fetch is the state of an adapter that was asked for.
 type fetch struct {
 	asked  time.Duration
@@ -39,13 +36,13 @@
 	directory.Endpoint
 	hash     uint64
 	models   map[string]bool
-	adapters map[adapterKey]bool
-	fetches  map[adapterKey]fetch
-	used     map[adapterKey]time.Duration
-	running  int   // attempts of this host
-	unread   int64 // prompt tokens of attempts without a first token
-	backlog  float64
-	at       time.Duration // of backlog
+	adapters map[Adapter]bool
+	fetches  map[Adapter]fetch
+	used     map[Adapter]bool // since the last report
+	running  int              // attempts of this host
+	unread   Backlog          // prompt tokens of attempts without a first token
+	backlog  [levels]float64  // the part of them that is estimated to be unread
+	at       time.Duration    // of backlog
 	others   Load
 	othersAt time.Duration
 	slow     float64 // measured against estimated time to the first token
@@ -62,8 +59,8 @@
 		hash:     hashText(e.ID),
 		at:       now,
 		slow:     1,
-		fetches:  map[adapterKey]fetch{},
-		used:     map[adapterKey]time.Duration{},
+		fetches:  map[Adapter]fetch{},
+		used:     map[Adapter]bool{},
 		absent:   map[string]time.Duration{},
 		cache:    newCache(),
 	}
@@ -90,11 +87,11 @@
 func (n *node) register(now time.Duration, e directory.Endpoint) {
 	n.Endpoint = e
 	n.models = make(map[string]bool, len(e.Models))
-	n.adapters = map[adapterKey]bool{}
+	n.adapters = map[Adapter]bool{}
 	for _, m := range e.Models {
 		n.models[m.Name] = true
 		for _, a := range m.Adapters {
-			n.adapters[adapterKey{m.Name, a}] = true
+			n.adapters[Adapter{m.Name, a}] = true
 		}
 	}
 	for k, f := range n.fetches {
@@ -106,7 +103,7 @@
 
 // holds reports whether the endpoint serves a model now.
 func (n *node) holds(now time.Duration, model string) bool {
-	if !n.models[model] {
+	if !n.models[model] || n.others.Retiring == model && now-n.othersAt < observedLife {
 		return false
 	}
 	since, missing := n.absent[model]
@@ -117,27 +114,44 @@
 const absentLife = 2500 * time.Millisecond
 
 // hasAdapter reports whether the adapter is resident as far as known.
-func (n *node) hasAdapter(k adapterKey) bool {
-	return k.adapter == "" || n.adapters[k] || n.fetches[k].loaded
+func (n *node) hasAdapter(k Adapter) bool {
+	return k.Adapter == "" || n.adapters[k] || n.fetches[k].loaded
 }
 
 // usable reports whether the endpoint may get work.
 func (n *node) usable(now time.Duration) bool { return !n.Leaving && now >= n.until }
 
-// backlogAt returns the prompt tokens of this host that the endpoint has not read.
-func (n *node) backlogAt(now time.Duration) float64 {
-	rate := readRate / n.slow
-	left := n.backlog - rate*(now-n.at).Seconds()
-	return max(min(left, float64(n.unread)), leastBacklog*float64(n.unread))
+// drain lets the endpoint read since the last call, the most urgent prompts first. Prompts without a first token
+// count as unread in part however long ago they were sent, because an engine that is silent has not read them.
+func (n *node) drain(now time.Duration) {
+	read := readRate / n.slow * (now - n.at).Seconds()
+	n.at = now
+	for level := range n.backlog {
+		least := leastBacklog * float64(n.unread[level])
+		left := max(min(n.backlog[level], float64(n.unread[level])), least)
+		taken := min(left-least, read)
+		n.backlog[level] = left - taken
+		read -= taken
+	}
+}
+
+// backlogBefore returns the prompt tokens of this host that are read before those of a request at the level.
+func (n *node) backlogBefore(now time.Duration, level int) float64 {
+	n.drain(now)
+	sum := 0.0
+	for _, tokens := range n.backlog[:level+1] {
+		sum += tokens
+	}
+	return sum
 }
 
-// othersBacklog returns the unread prompt tokens of other hosts.
-func (n *node) othersBacklog(now time.Duration) float64 {
+// othersBefore returns the unread prompt tokens of other hosts that are read before those of a request.
+func (n *node) othersBefore(now time.Duration, level int) float64 {
 	age := now - n.othersAt
 	if age > observedLife {
 		return 0
 	}
-	return max(float64(n.others.Backlog)-readRate/n.slow*age.Seconds(), 0)
+	return max(float64(n.others.Backlog.Before(level))-readRate/n.slow*age.Seconds(), 0)
 }
 
 // othersRunning returns the attempts of other hosts.
@@ -151,18 +165,17 @@
 func (n *node) observe(now time.Duration, l Load) { n.others, n.othersAt = l, now }
 
 // start counts an attempt that has prompt tokens to read.
-func (n *node) start(now time.Duration, unread int64) {
-	n.backlog = n.backlogAt(now) + float64(unread)
-	n.at = now
+func (n *node) start(now time.Duration, level int, unread int64) {
+	n.drain(now)
+	n.backlog[level] += float64(unread)
+	n.unread[level] += unread
 	n.running++
-	n.unread += unread
 }
 
-// read says that the prompt of an attempt has been read.
-func (n *node) read(now time.Duration, unread int64) {
-	n.backlog = n.backlogAt(now)
-	n.at = now
-	n.unread = max(n.unread-unread, 0)
+// read says that the prompt of an attempt has been read, or will not be.
+func (n *node) read(now time.Duration, level int, unread int64) {
+	n.unread[level] = max(n.unread[level]-unread, 0)
+	n.drain(now)
 }
 
 // finish counts the end of an attempt.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -15,6 +15,14 @@
 	defaultPatience = 30 * time.Second
 	// openWeight is the weight in the queue of requests without a limited account.
 	openWeight = 10_000.0
+	// waitShare is the part of its goal, and leastWait the time, for which a request waits for an endpoint with room.
+	waitShare = 0.5
+	leastWait = 20 * time.Millisecond
+	// absentRetry is what a caller is told to wait when no endpoint holds its model; a load from disk takes about
+	// as long.
+	absentRetry = 1500 * time.Millisecond
+	// fullRetry is what a caller is told to wait when no endpoint had room for its request.
+	fullRetry = 700 * time.Millisecond
 )
 
 // phase is where a request stands.
@@ -61,12 +69,23 @@
 	if g, is := a.Request.Work.(intake.Generation); is {
 		r.pool.demand[g.Model] += float64(g.Prompt)
 	}
+	if s.hopeless(now, r) {
+		s.refuse(now, r, NoModel, absentRetry)
+		return
+	}
 	if !s.take(now, r) {
 		return
 	}
 	s.enqueue(now, r)
 }
 
+// hopeless reports whether no endpoint can serve a request before its caller leaves. It is refused at once, because
+// waiting would only keep the caller from coming back.
+func (s *State) hopeless(now time.Duration, r *request) bool {
+	c, reason := s.choose(now, r.pool, r)
+	return c.node == nil && reason == NoModel
+}
+
 // admit finds the route, the client account and the pool of a request.
 func (s *State) admit(now time.Duration, a Arrive) (*request, Reason) {
 	if s.catalog == nil {
@@ -123,7 +142,7 @@
 		Weight:   openWeight,
 		Tokens:   max(r.arrive.Request.Tokens(), 1),
 		Priority: -r.route.Priority,
-		Deadline: r.arrived + max(r.route.Goal, time.Millisecond),
+		Deadline: r.arrived + time.Duration(waitShare*float64(r.route.Goal)) + leastWait,
 	}
 	if a := s.accounts[r.account]; a != nil && a.spec.Rate > 0 {
 		item.Weight = a.spec.Rate
@@ -148,9 +167,14 @@
 
 // dispatch sends the queued requests of a pool for which there is an endpoint.
 func (s *State) dispatch(now time.Duration, p *pool) {
+	for _, item := range p.queue.Expire(now) {
+		r := s.requests[item.ID]
+		_, reason := s.choose(now, p, r)
+		s.refuse(now, r, reason, fullRetry)
+	}
 	for p.queue.Len() > 0 {
 		var found choice
-		item, any := p.queue.Next(0, func(i queue.Item) bool {
+		item, any := p.queue.Next(now, func(i queue.Item) bool {
 			r := s.requests[i.ID]
 			found, _ = s.choose(now, p, r)
 			return found.node != nil
@@ -171,7 +195,7 @@
 	}
 	r.phase = fetching
 	g := r.arrive.Request.Work.(intake.Generation)
-	key := adapterKey{g.Model, g.Adapter}
+	key := Adapter{g.Model, g.Adapter}
 	if f, asked := c.node.fetches[key]; asked && now-f.asked < fetchPatience {
 		return
 	}
@@ -185,7 +209,7 @@
 	if p == nil {
 		return
 	}
-	key := adapterKey{e.Model, e.Adapter}
+	key := Adapter{e.Model, e.Adapter}
 	n := p.nodes[e.Endpoint]
 	if n != nil {
 		if e.Loaded {
@@ -232,10 +256,13 @@
 	if r.attempts == 1 {
 		r.pool.budget.start(now, s.settings.RetryWindow)
 	}
-	n.start(now, r.choice.unread)
+	n.start(now, r.choice.level, r.choice.unread)
 	if r.pieces != nil {
 		n.cache.add(r.pieces)
 	}
+	if g, is := r.arrive.Request.Work.(intake.Generation); is && g.Adapter != "" {
+		n.used[Adapter{g.Model, g.Adapter}] = true
+	}
 	s.emit(Send{
 		Number:   r.arrive.Number,
 		Attempt:  r.attempts,
@@ -245,13 +272,13 @@
 		Endpoint: n.Endpoint,
 		Until:    r.deadline,
 		Silence:  s.silence(r),
-		Urgency:  urgency(r.route.Priority),
+		Urgency:  urgency(r.choice.level),
 		Wait:     r.choice.wait,
 	})
 }
 
-// urgency maps a priority to the urgencies of engines, from 0 to 9.
-func urgency(priority int) int { return min(1+2*max(priority, 0), 9) }
+// urgency maps a level to the urgencies of engines, from 0 to 9.
+func urgency(level int) int { return 1 + 2*level }
 
 // first says that the running attempt has begun to answer.
 func (s *State) first(now time.Duration, number uint64) {
@@ -260,7 +287,7 @@
 		return
 	}
 	r.first = true
-	r.choice.node.read(now, r.choice.unread)
+	r.choice.node.read(now, r.choice.level, r.choice.unread)
 	if r.pieces != nil {
 		r.choice.node.learn(now-r.started, r.choice.wait)
 	}
@@ -270,7 +297,7 @@
 // release frees the place of the running attempt.
 func (s *State) release(now time.Duration, r *request, outcome Outcome) {
 	if !r.first {
-		r.choice.node.read(now, r.choice.unread)
+		r.choice.node.read(now, r.choice.level, r.choice.unread)
 	}
 	r.choice.node.finish(now, outcome)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -89,7 +89,7 @@
 func (h *Host) finish(t *task, f dispatch.Finished) {
 	if f.Outcome != dispatch.Done {
 		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.last.Attempt, "endpoint", t.last.Endpoint.ID,
-			"outcome", f.Outcome, "took", f.Took, "begun", t.begun)
+			"outcome", f.Outcome.String(), "took", f.Took.String(), "begun", t.begun)
 	}
 	h.Apply(f)
 }
@@ -128,7 +128,7 @@
 	h.finish(t, f)
 	status := got.write(t.writer)
 	h.log.Info("entry: answered", "request", t.request.ID, "status", status, "endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt,
-		"after", h.Now()-t.arrived, "took", f.Took)
+		"after", (h.Now() - t.arrived).String(), "took", f.Took.String())
 	return true
 }
 
@@ -182,7 +182,7 @@
 		t.writer.WriteHeader(answer.StatusCode)
 	}
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
-		"attempt", t.last.Attempt, "after", h.Now()-t.arrived, "last", t.resume)
+		"attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume)
 	return true
 }
 
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -143,7 +144,7 @@
 func (h *Host) end(ctx context.Context, t *task) {
 	if !errors.Is(context.Cause(ctx), errExpired) {
 		h.Apply(dispatch.Left{Number: t.number})
-		h.log.Info("entry: caller left", "request", t.request.ID, "after", h.Now()-t.arrived, "endpoint", t.last.Endpoint.ID)
+		h.log.Info("entry: caller left", "request", t.request.ID, "after", (h.Now() - t.arrived).String(), "endpoint", t.last.Endpoint.ID, "work", fmt.Sprint(t.request.Work))
 		return
 	}
 	h.Apply(dispatch.Expired{Number: t.number})
@@ -171,8 +172,8 @@
 	default:
 		status = platform.WriteRefusal(t.writer, e.Reason, e.Ran, e.Retry)
 	}
-	h.log.Info("entry: refused", "request", t.request.ID, "reason", e.Reason, "ran", e.Ran, "status", status, "account", e.Account,
-		"route", e.Route, "after", h.Now()-t.arrived, "retry", e.Retry, "waiting", e.Waited, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
+	h.log.Info("entry: refused", "request", t.request.ID, "reason", e.Reason.String(), "ran", e.Ran.String(), "status", status, "account", e.Account,
+		"route", e.Route, "after", (h.Now() - t.arrived).String(), "retry", e.Retry.String(), "waiting", e.Waited, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
 	if t.begun {
 		panic(http.ErrAbortHandler)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,7 +33,7 @@
 // Host is one entry host.
 type Host struct {
 	settings    config.Entry
-	start       time.Time
+	start       time.Duration // since boot
 	log         hclog.Logger
 	store       *platform.Store
 	connections *connection.Pool
@@ -45,14 +45,25 @@
 	directory *directory.Directory
 	waiting   map[uint64]chan dispatch.Effect
 
+	fleet     fleet
+	holdings  map[string]*holding // by pool
+	orderable map[string]bool     // whether adapters can be ordered, by pool
+	armed     bool                // a tick is due
+	kick      chan struct{}       // makes the holder look at its pools
+	engines   *platform.Engines
+
 	catalog atomic.Pointer[catalog.Catalog]
 	ready   atomic.Bool
 	stop    stopping
 
 	callers *server
 	checks  *server
+	others  *server // for other hosts
 }
 
+// tickPeriod is the resolution of waiting times in the reducer.
+const tickPeriod = 20 * time.Millisecond
+
 // inboxSize is more than the effects that a request can get before it takes one.
 const inboxSize = 8
 
@@ -60,11 +71,14 @@
 func New(settings config.Entry, log hclog.Logger) *Host {
 	h := &Host{
 		settings:  settings,
-		start:     time.Now(),
+		start:     sinceBoot(),
 		log:       log.Named("entry"),
 		store:     platform.NewStore(settings.Store),
 		directory: directory.New(),
 		waiting:   map[uint64]chan dispatch.Effect{},
+		holdings:  map[string]*holding{},
+		orderable: map[string]bool{},
+		kick:      make(chan struct{}, 1),
 		connections: connection.New(connection.Settings{
 			Connect: connectTimeout,
 			Idle:    idleTimeout,
@@ -78,11 +92,13 @@
 		}),
 	}
 	h.stop.began = make(chan struct{})
+	h.engines = platform.NewEngines(h.connections, settings.Name)
+	h.fleet = newFleet(settings.Peers, settings.Domain)
 	return h
 }
 
-// Now returns the monotonic time since the process started.
-func (h *Host) Now() time.Duration { return time.Since(h.start) }
+// Now returns the time since the process started, including that in which the machine was suspended.
+func (h *Host) Now() time.Duration { return sinceBoot() - h.start }
 
 // Done is closed when the host has stopped.
 func (h *Host) Done() <-chan struct{} { return h.tomb.Dead() }
@@ -117,6 +133,18 @@
 		h.carry(effect)
 	}
 	h.ready.Store(h.state.Ready())
+	if h.state.Waiting() > 0 && !h.armed {
+		h.armed = true
+		time.AfterFunc(tickPeriod, h.tick)
+	}
+}
+
+// tick lets time pass in the reducer while requests wait.
+func (h *Host) tick() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.armed = false
+	h.apply(dispatch.Tick{})
 }
 
 // carry starts an effect; what may block runs in its own goroutine.
@@ -126,8 +154,28 @@
 		h.deliver(e.Number, e)
 	case dispatch.Refuse:
 		h.deliver(e.Number, e)
-	case dispatch.Borrow, dispatch.Repay, dispatch.Fetch, dispatch.Lend:
+	case dispatch.Borrow:
+		h.run(func(ctx context.Context) { h.borrow(ctx, e) })
+	case dispatch.Repay:
+		h.run(func(ctx context.Context) { h.repay(ctx, e) })
+	case dispatch.Fetch:
+		h.run(func(ctx context.Context) { h.fetch(ctx, e) })
+	case dispatch.Lend:
+		// The answer to Asks is taken from the effects by Borrow of the peer interface.
+	}
+}
+
+// run starts a goroutine that ends with the host.
+func (h *Host) run(work func(ctx context.Context)) {
+	select {
+	case <-h.tomb.Dying():
+		return
+	default:
 	}
+	h.tomb.Go(func() error {
+		work(h.tomb.Context(context.Background()))
+		return nil
+	})
 }
 
 // deliver hands an effect to the goroutine of its request.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -20,12 +20,17 @@
 	feedPauseLimit = 800 * time.Millisecond
 )
 
+// endpointRest is how long changes of registrations gather; a leaving endpoint must get no work after two seconds.
+const endpointRest = 500 * time.Millisecond
+
 // follower keeps a copy of one table of the store.
 type follower struct {
 	name string
 	// replace takes all rows, change those that were changed.
 	replace func(rows []table.Row)
 	change  func(rows []table.Row)
+	// rest is the wait after a change, in which others gather; every call is paid for.
+	rest time.Duration
 	// lost and regained tell of the store's absence; they may be nil.
 	lost, regained func()
 }
@@ -75,6 +80,7 @@
 		}
 		if len(snapshot.Rows) > 0 {
 			f.change(snapshot.Rows)
+			h.sleep(f.rest)
 		}
 	}
 }
@@ -134,6 +140,7 @@
 func (h *Host) followEndpoints() error {
 	return h.follow(follower{
 		name: platform.EndpointTable,
+		rest: endpointRest,
 		replace: func(rows []table.Row) {
 			var all []directory.Endpoint
 			for _, c := range h.registrations(rows) {
@@ -180,9 +187,6 @@
 	if h.directory.Sweep(h.Now()) {
 		h.apply(dispatch.Registered{Endpoints: h.directory.Endpoints()})
 	}
-	if h.state.Waiting() > 0 {
-		h.apply(dispatch.Tick{})
-	}
 	h.mu.Unlock()
 	h.connections.Sweep()
 }
--- /dev/null
+++ b/entry/loans.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"context"
+
+	"magnoliahoist/dispatch"
+	"magnoliahoist/peer"
+)
+
+// borrow asks another host for tokens. An unanswered loan counts as not made here and as made there.
+func (h *Host) borrow(ctx context.Context, e dispatch.Borrow) {
+	lent := dispatch.Lent{Account: e.Account, Loan: e.Loan, Lender: e.Lender.ID, Asked: e.Asked}
+	if client := h.peers(); client != nil {
+		answer, err := client.Borrow(ctx, peer.Target{ID: e.Lender.ID, Address: e.Lender.Address}, h.sender(), e.Account, e.Loan, e.Tokens)
+		if err != nil {
+			h.log.Info("entry: unable to borrow", "account", e.Account, "lender", e.Lender.ID, "error", err)
+		} else {
+			lent.Tokens = answer.GetTokens()
+		}
+	}
+	h.Apply(lent)
+}
+
+// repay returns the unused part of a loan. A lost repayment is forgotten by the lender too.
+func (h *Host) repay(ctx context.Context, e dispatch.Repay) {
+	client, to, known := h.peerByID(e.Lender)
+	if !known {
+		return
+	}
+	if _, err := client.Repay(ctx, to, h.sender(), e.Account, e.Loan, e.Unused); err != nil {
+		h.log.Info("entry: unable to repay a loan", "account", e.Account, "lender", e.Lender, "error", err)
+	}
+}
+
+// peerByID returns the client and the address of a host.
+func (h *Host) peerByID(id string) (*peer.Client, peer.Target, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, m := range h.fleet.members {
+		if m.ID == id && h.fleet.client != nil {
+			return h.fleet.client, peer.Target{ID: id, Address: m.Address}, true
+		}
+	}
+	return nil, peer.Target{}, false
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -9,8 +9,6 @@
 	"github.com/juju/errors"
 	goji "goji.io"
 	"goji.io/pat"
-
-	"magnoliahoist/dispatch"
 )
 
 const (
@@ -74,11 +72,21 @@
 		h.callers.net.Close()
 		return err
 	}
-	h.Apply(dispatch.Joined{Fraction: 0.2})
+	if h.others, err = h.listen("hosts", h.settings.Peers, h.peerHandler()); err != nil {
+		h.callers.net.Close()
+		h.checks.net.Close()
+		return err
+	}
 	h.serveOn(h.callers)
 	h.serveOn(h.checks)
+	h.serveOn(h.others)
 	h.tomb.Go(h.followOperator)
 	h.tomb.Go(h.followEndpoints)
+	h.tomb.Go(h.followFleet)
+	h.tomb.Go(h.enrol)
+	h.tomb.Go(h.hold)
+	h.tomb.Go(func() error { return h.every(planPeriod, h.lookAtLeases) })
+	h.tomb.Go(func() error { return h.every(summaryPeriod, h.summarize) })
 	h.tomb.Go(func() error { return h.every(sweepPeriod, h.sweep) })
 	h.log.Info("entry: started", "name", h.settings.Name, "domain", h.settings.Domain, "callers", h.settings.Callers, "store", h.settings.Store)
 	return nil
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"magnoliahoist/dispatch"
+	"magnoliahoist/peer"
+)
+
+// peerService answers other hosts.
+type peerService struct{ host *Host }
+
+// Borrow lends tokens of an account.
+func (s *peerService) Borrow(_ context.Context, r *peer.BorrowRequest) (*peer.BorrowResponse, error) {
+	h := s.host
+	asks := dispatch.Asks{Account: r.GetAccount(), Loan: r.GetLoan(), Borrower: r.GetHeader().GetFrom(), Tokens: r.GetTokens()}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, effect := range h.state.Apply(h.Now(), asks) {
+		if lend, is := effect.(dispatch.Lend); is {
+			return &peer.BorrowResponse{Tokens: lend.Tokens}, nil
+		}
+	}
+	return &peer.BorrowResponse{}, nil
+}
+
+// Repay takes back the unused part of a loan.
+func (s *peerService) Repay(_ context.Context, r *peer.RepayRequest) (*peer.RepayResponse, error) {
+	s.host.Apply(dispatch.Repaid{Account: r.GetAccount(), Loan: r.GetLoan(), Unused: r.GetUnused()})
+	return &peer.RepayResponse{}, nil
+}
+
+// Summary takes the demand and load of another host and returns the load of the rest.
+func (s *peerService) Summary(_ context.Context, r *peer.SummaryRequest) (*peer.SummaryResponse, error) {
+	loads, held := s.host.exchange(r)
+	if !held {
+		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
+	}
+	return &peer.SummaryResponse{Loads: loads}, nil
+}
+
+// Fetch loads an adapter on an endpoint.
+func (s *peerService) Fetch(ctx context.Context, r *peer.FetchRequest) (*peer.FetchResponse, error) {
+	loaded := s.host.fetchHere(ctx, r.GetPool(), dispatch.Adapter{Model: r.GetModel(), Adapter: r.GetAdapter()}, r.GetEndpoint())
+	return &peer.FetchResponse{Loaded: loaded}, nil
+}
+
+// Sync is not offered yet: hosts learn of changes from the store.
+func (s *peerService) Sync(context.Context, *peer.SyncRequest) (*peer.SyncResponse, error) {
+	return nil, errUnimplemented
+}
+
+// Announce is not offered: the store's answer to the operator is the acknowledgement.
+func (s *peerService) Announce(context.Context, *peer.AnnounceRequest) (*peer.AnnounceResponse, error) {
+	return nil, errUnimplemented
+}
+
+// Timeline is not offered yet.
+func (s *peerService) Timeline(context.Context, *peer.TimelineRequest) (*peer.TimelineResponse, error) {
+	return nil, errUnimplemented
+}
+
+// errUnimplemented answers calls that only hosts with a fixed pools table offer.
+var errUnimplemented = twirp.NewError(twirp.Unimplemented, "entry: endpoints register themselves here")
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"magnoliahoist/lease"
 )
 
 const (
@@ -48,10 +50,25 @@
 func (h *Host) finishRequests() error {
 	ctx, cancel := context.WithTimeout(context.Background(), h.settings.Grace.Std()-endMargin)
 	defer cancel()
+	h.release(ctx)
 	h.sleep(balancerLag)
 	h.callers.shutdown(ctx)
 	h.log.Info("entry: stopped", "running", h.running())
+	h.leave(ctx)
 	h.tomb.Kill(nil)
 	h.checks.http.Close()
+	h.others.http.Close()
 	return nil
 }
+
+// release gives up the leases that this host holds, so that others need not wait until they lapse.
+func (h *Host) release(ctx context.Context) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for pool, term := range h.fleet.terms {
+		if row, revision, held := term.Release(sinceBoot()); held {
+			h.run(func(context.Context) { h.writeLease(ctx, pool, term, lease.Renew, row, revision) })
+		}
+		h.abandon(pool)
+	}
+}
--- a/host/service.go
+++ b/host/service.go
@@ -148,3 +148,8 @@
 	}
 	return state.Missed{Member: member}
 }
+
+// Fetch is answered by hosts whose endpoints register themselves.
+func (s *peerService) Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "host: adapters are placed by the pools table")
+}
--- /dev/null
+++ b/lease/term.go
@@ -0,0 +1,131 @@
+package lease
+
+import "time"
+
+// Tenancy is the content of a lease's row.
+type Tenancy struct {
+	Holder   string `json:"holder"` // id of the process
+	Number   int64  `json:"number"` // higher for each holder
+	Renewal  int64  `json:"renewal"`
+	Released bool   `json:"released,omitempty"`
+}
+
+// TermSettings are the times of a lease that is kept by renewing its row.
+type TermSettings struct {
+	Renew time.Duration // between two renewals
+	Guard time.Duration // after the start of the last renewal, in which the holder may act
+	Gap   time.Duration // least time between the acts of two holders
+}
+
+// Action is what a term asks for.
+type Action int
+
+//go:generate go tool stringer -type=Action -linecomment -output=action_string.go
+
+// Actions of a term. Each is a write of the row under the condition that its revision is unchanged.
+const (
+	Stay    Action = iota // stay
+	Renew                 // renew
+	Acquire               // acquire
+)
+
+// Term is one process's view of a lease whose row is renewed by its holder. Times come from a clock that goes on
+// while the machine is suspended. A process may act while the last renewal that succeeded began less than Guard
+// ago; another takes over when reads that are Guard and Gap apart have shown the row unchanged. Term is not safe for concurrent use.
+type Term struct {
+	settings TermSettings
+	self     string
+	row      Tenancy
+	revision int64
+	known    bool          // the row, or its absence, has been read
+	changed  time.Duration // when the row was seen to change
+	looked   time.Duration // when the row was read last
+	acting   time.Duration // end of the time in which this process may act
+	asked    time.Duration // start of the last write
+	pending  bool
+}
+
+// NewTerm returns the view of a process that knows nothing yet.
+func NewTerm(settings TermSettings, self string) *Term {
+	return &Term{settings: settings, self: self}
+}
+
+// Observe takes the row as of a revision; an absent row has the revision 0.
+func (t *Term) Observe(now time.Duration, row Tenancy, revision int64) {
+	t.looked = now
+	if t.known && revision <= t.revision {
+		return
+	}
+	t.row, t.revision, t.changed, t.known = row, revision, now, true
+	if row.Holder != t.self {
+		t.acting = 0
+	}
+}
+
+// Acts reports whether this process may act now as the holder.
+func (t *Term) Acts(now time.Duration) bool { return t.row.Holder == t.self && now < t.acting }
+
+// Known reports whether the row's content is known. After a write without a known result it must be read again.
+func (t *Term) Known() bool { return t.known }
+
+// Number returns the number of the present holder.
+func (t *Term) Number() int64 { return t.row.Number }
+
+// Holder returns the id of the present holder; empty when there is none.
+func (t *Term) Holder() string {
+	if t.row.Released {
+		return ""
+	}
+	return t.row.Holder
+}
+
+// Next returns the write that is due: the row's new content and the revision that it must still have.
+func (t *Term) Next(now time.Duration) (Action, Tenancy, int64) {
+	if !t.known || t.pending {
+		return Stay, Tenancy{}, 0
+	}
+	if t.row.Holder == t.self && !t.row.Released && now < t.acting {
+		if now-t.asked < t.settings.Renew {
+			return Stay, Tenancy{}, 0
+		}
+		return t.begin(now, Renew, Tenancy{Holder: t.self, Number: t.row.Number, Renewal: t.row.Renewal + 1})
+	}
+	if t.revision > 0 && t.looked-t.changed < t.wait() {
+		return Stay, Tenancy{}, 0
+	}
+	return t.begin(now, Acquire, Tenancy{Holder: t.self, Number: t.row.Number + 1})
+}
+
+// wait returns how long the row must have been unchanged before it is taken over.
+func (t *Term) wait() time.Duration {
+	if t.row.Released {
+		return t.settings.Gap
+	}
+	return t.settings.Guard + t.settings.Gap
+}
+
+func (t *Term) begin(now time.Duration, action Action, row Tenancy) (Action, Tenancy, int64) {
+	t.pending, t.asked = true, now
+	return action, row, t.revision
+}
+
+// Written takes the result of a write. One without a known result gives no right to act; the feed shows later
+// whether it took effect.
+func (t *Term) Written(row Tenancy, revision int64, committed bool) {
+	t.pending = false
+	if !committed || revision < t.revision {
+		t.known = false // the row must be read before it is written again
+		return
+	}
+	t.row, t.revision, t.changed = row, revision, t.asked
+	t.acting = t.asked + t.settings.Guard
+}
+
+// Release returns the write that gives the lease up, and false when this process does not hold it.
+func (t *Term) Release(now time.Duration) (Tenancy, int64, bool) {
+	if !t.Acts(now) {
+		return Tenancy{}, 0, false
+	}
+	t.acting = 0
+	return Tenancy{Holder: t.self, Number: t.row.Number, Renewal: t.row.Renewal + 1, Released: true}, t.revision, true
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,6 +15,8 @@
 	syncTimeout = time.Second
 	// borrowTimeout is small against the 1.9 s in which a request's first token is due.
 	borrowTimeout = 300 * time.Millisecond
+	// fetchTimeout bounds a call for an adapter, which takes milliseconds unless many are fetched at once.
+	fetchTimeout = 700 * time.Millisecond
 	// readTimeout bounds calls for summaries and timelines, on which nothing waits.
 	readTimeout = 2 * time.Second
 )
@@ -108,6 +110,18 @@
 	return call(ctx, c, to, readTimeout, Peer.Summary, request)
 }
 
+// Report tells the lease holder the demand and the load of this host and returns the load of the others.
+func (c *Client) Report(ctx context.Context, to Target, from Sender, pool string, demands []*Demand, loads []*EndpointLoad) (*SummaryResponse, error) {
+	request := &SummaryRequest{Header: header(to, from), Pool: pool, Demands: demands, Loads: loads}
+	return call(ctx, c, to, borrowTimeout, Peer.Summary, request)
+}
+
+// Fetch asks the lease holder for an adapter on an endpoint and returns when it can be used, or can't be had.
+func (c *Client) Fetch(ctx context.Context, to Target, from Sender, pool, endpoint, model, adapter string) (*FetchResponse, error) {
+	request := &FetchRequest{Header: header(to, from), Pool: pool, Endpoint: endpoint, Model: model, Adapter: adapter}
+	return call(ctx, c, to, fetchTimeout, Peer.Fetch, request)
+}
+
 // Timeline returns the member's events after the stamp.
 func (c *Client) Timeline(ctx context.Context, to Target, from Sender, after int64) (*TimelineResponse, error) {
 	return call(ctx, c, to, readTimeout, Peer.Timeline, &TimelineRequest{Header: header(to, from), After: after})
--- a/peer/server.go
+++ b/peer/server.go
@@ -70,6 +70,8 @@
 		reply = &r.Reply
 	case *SummaryResponse:
 		reply = &r.Reply
+	case *FetchResponse:
+		reply = &r.Reply
 	case *TimelineResponse:
 		reply = &r.Reply
 	default:
--- /dev/null
+++ b/residency/place.go
@@ -0,0 +1,273 @@
+package residency
+
+import (
+	"slices"
+	"time"
+)
+
+// replica counts the engines that hold or load a model.
+type replica struct {
+	count  int
+	demand float64 // prompt tokens a second
+}
+
+// load returns the part of an engine that each replica needs.
+func (r replica) load(count int) float64 {
+	if count <= 0 {
+		return r.demand / engineRate * 10 // a model that nobody holds is wanted before any other
+	}
+	return r.demand / engineRate / float64(count)
+}
+
+// modelOrders returns at most one order for a model: it answers demand that has moved to models with too few
+// replicas, and models that nobody holds.
+func (p *Planner) modelOrders(now time.Duration) []Order {
+	p.decay(now)
+	p.fill(now)
+	p.expire(now)
+	orders := append(p.retire(now), p.complete(now)...)
+	if len(orders) > 0 {
+		return orders
+	}
+	if now-p.grown < settleTime {
+		return nil
+	}
+	replicas := p.replicas()
+	for _, model := range p.byNeed(replicas) {
+		if o, due := p.grow(now, model, replicas); due {
+			return []Order{o}
+		}
+	}
+	return nil
+}
+
+// fill adds the loads that the weight store allows.
+func (p *Planner) fill(now time.Duration) {
+	p.tokens = min(p.tokens+p.spec.Engine.Loads*(now-p.filled).Seconds(), loadBurst)
+	p.filled = now
+}
+
+// expire gives up loads and unloads that have taken too long.
+func (p *Planner) expire(now time.Duration) {
+	for _, e := range p.engines {
+		if (e.loading != "" || e.leaving != "") && now-e.since > patience {
+			e.loading, e.leaving, e.target, e.synced = "", "", "", false
+		}
+	}
+}
+
+// retire returns the orders that unload models that hosts have been told not to use.
+func (p *Planner) retire(now time.Duration) []Order {
+	var orders []Order
+	for _, id := range p.names {
+		e := p.engines[id]
+		if e.retiring == "" || e.current != nil || now < e.retry || now-e.retired < retireTime || !e.synced {
+			continue
+		}
+		orders = append(orders, e.begin(Order{Kind: UnloadModel, Model: e.retiring, Why: "makes room for " + e.target}))
+	}
+	return orders
+}
+
+// complete returns the orders that load the models for which room was made.
+func (p *Planner) complete(now time.Duration) []Order {
+	var orders []Order
+	for _, id := range p.names {
+		e := p.engines[id]
+		if e.target == "" || e.busy() || !e.synced || now < e.retry || e.Leaving {
+			continue
+		}
+		if o, due := p.load(e); due {
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+// load returns the order that loads an engine's target, unless the weight store's rate is used up.
+func (p *Planner) load(e *engine) (Order, bool) {
+	if p.cold(e, e.target) {
+		if p.tokens < 1 {
+			return Order{}, false
+		}
+		p.tokens--
+	}
+	return e.begin(Order{Kind: LoadModel, Model: e.target, Why: "demand"}), true
+}
+
+// replicas counts the replicas of every model, those that are being loaded included.
+func (p *Planner) replicas() map[string]replica {
+	all := make(map[string]replica, len(p.spec.Engine.Models))
+	for name := range p.spec.Engine.Models {
+		all[name] = replica{demand: p.demand[name]}
+	}
+	add := func(name string) {
+		r := all[name]
+		r.count++
+		all[name] = r
+	}
+	for _, id := range p.names {
+		e := p.engines[id]
+		if e.Leaving {
+			continue
+		}
+		for name := range e.models {
+			if name != e.retiring {
+				add(name)
+			}
+		}
+		switch {
+		case e.target != "" && e.models[e.target] == nil:
+			add(e.target)
+		case e.loading != "" && e.models[e.loading] == nil:
+			add(e.loading)
+		}
+	}
+	return all
+}
+
+// byNeed returns the models in descending order of the load of their replicas.
+func (p *Planner) byNeed(replicas map[string]replica) []string {
+	names := make([]string, 0, len(replicas))
+	for name, r := range replicas {
+		if r.count == 0 || r.load(r.count) > leastGain {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		x, y := replicas[a], replicas[b]
+		switch {
+		case (x.count == 0) != (y.count == 0):
+			if x.count == 0 {
+				return -1
+			}
+			return 1
+		case x.load(x.count) != y.load(y.count):
+			if x.load(x.count) > y.load(y.count) {
+				return -1
+			}
+			return 1
+		case a < b:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return names
+}
+
+// move is a way to give a model another replica.
+type move struct {
+	engine *engine
+	victim string // model that must be unloaded first; empty when there is room
+	time   time.Duration
+	loss   float64 // load of the victim's replicas afterwards
+	load   float64 // of the engine's other models
+}
+
+// grow returns the order that gives a model another replica, if that pays.
+func (p *Planner) grow(now time.Duration, model string, replicas map[string]replica) (Order, bool) {
+	r := replicas[model]
+	best, found := move{}, false
+	for _, id := range p.names {
+		e := p.engines[id]
+		if e.Leaving || e.busy() || !e.synced || now < e.retry || e.models[model] != nil {
+			continue
+		}
+		if e.target != "" {
+			continue
+		}
+		m, possible := p.moveTo(e, model, replicas)
+		if possible && (!found || m.better(best)) {
+			best, found = m, true
+		}
+	}
+	if !found {
+		return Order{}, false
+	}
+	gain := r.load(r.count) - max(r.load(r.count+1), best.loss)
+	if r.count > 0 && gain < leastGain {
+		return Order{}, false
+	}
+	best.engine.target = model
+	if best.victim != "" {
+		best.engine.retiring, best.engine.retired = best.victim, now
+		return Order{}, false
+	}
+	return p.load(best.engine)
+}
+
+// price returns what a move costs, in parts of an engine: the victim's loss and the time until the model serves.
+func (m move) price() float64 {
+	price := m.loss + m.time.Seconds()*timePrice
+	if m.victim != "" {
+		price += retireTime.Seconds() * timePrice
+	}
+	return price
+}
+
+// better prefers the lower price, then the engine with less to do.
+func (m move) better(other move) bool {
+	if a, b := m.price(), other.price(); a != b {
+		return a < b
+	}
+	return m.load < other.load
+}
+
+// moveTo returns how an engine can take a model.
+func (p *Planner) moveTo(e *engine, model string, replicas map[string]replica) (move, bool) {
+	m := move{engine: e, time: p.loadTime(e, model)}
+	room := p.spec.Engine.Weights
+	for name, h := range e.models {
+		spec := p.spec.Engine.Models[name]
+		room -= spec.Weights + float64(len(h.adapters))*spec.Adapter
+		m.load += replicas[name].load(replicas[name].count)
+	}
+	room -= p.adapterReserve(e)
+	need := p.spec.Engine.Models[model].Weights
+	if room >= need {
+		return m, true
+	}
+	found := false
+	for name := range e.models {
+		r := replicas[name]
+		spec := p.spec.Engine.Models[name]
+		if r.count < 2 || room+spec.Weights < need {
+			continue
+		}
+		loss := r.load(r.count - 1)
+		if !found || loss < m.loss || loss == m.loss && name < m.victim {
+			m.victim, m.loss, found = name, loss, true
+		}
+	}
+	return m, found
+}
+
+// adapterReserve returns the megabytes kept free for adapters that may come.
+func (p *Planner) adapterReserve(e *engine) float64 {
+	largest := 0.0
+	for _, m := range p.spec.Engine.Models {
+		if m.Adapters > 0 {
+			largest = max(largest, m.Adapter)
+		}
+	}
+	return largest * float64(max(p.spec.Engine.Adapters-e.adapters(), 0))
+}
+
+// loadTime returns how long an engine takes to load a model.
+func (p *Planner) loadTime(e *engine, model string) time.Duration {
+	spec := p.spec.Engine.Models[model]
+	switch {
+	case slices.Contains(e.Memory, model):
+		return spec.Warm
+	case slices.Contains(e.Disk, model):
+		return spec.Disk
+	default:
+		return spec.Load
+	}
+}
+
+// cold reports whether an engine must load a model from the weight store.
+func (p *Planner) cold(e *engine, model string) bool {
+	return !slices.Contains(e.Memory, model) && !slices.Contains(e.Disk, model)
+}
