residency: take what an engine holds from reports only

Ruled out: a lag on registrations alone; they gather for half a second and the store may be slow.

Change: a registration that differs asks for a report; reports asked for within 600 ms of an order or a completed load are ignored; room is checked again before each load.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -32,8 +32,9 @@
 	Leaving  bool
 	Born     int64 // start, Unix milliseconds; 0 when it is not stated
 	Models   []Model
-	Memory   []string // models kept in host memory
-	Disk     []string // models kept on disk
+	Memory   []string      // models kept in host memory
+	Disk     []string      // models kept on disk
+	Seen     time.Duration // when the registration came
 }
 
 // Same reports whether two registrations are of one process: an endpoint may start again under its id.
@@ -41,6 +42,11 @@
 	return e.ID == other.ID && e.Address == other.Address && e.Born == other.Born
 }
 
+func (e Endpoint) seen(now time.Duration) Endpoint {
+	e.Seen = now
+	return e
+}
+
 // Change is a registration that was written or removed.
 type Change struct {
 	ID       string
@@ -83,7 +89,7 @@
 			d.remove(now, c.ID)
 			continue
 		}
-		d.endpoints[c.ID] = c.Endpoint
+		d.endpoints[c.ID] = c.Endpoint.seen(now)
 		delete(d.lapsed, c.ID)
 	}
 }
@@ -93,7 +99,7 @@
 	present := make(map[string]bool, len(all))
 	for _, e := range all {
 		present[e.ID] = true
-		d.endpoints[e.ID] = e
+		d.endpoints[e.ID] = e.seen(now)
 		delete(d.lapsed, e.ID)
 	}
 	for id := range d.endpoints {
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -234,13 +235,15 @@
 }
 
 func (h *Host) askReport(ctx context.Context, pool string, held *holding, e directory.Endpoint) {
+	asked := h.Now()
 	report, err := h.engines.Report(ctx, e)
+	report.Asked = asked
 	if err != nil {
 		h.log.Info("entry: unable to get a report", "pool", pool, "endpoint", e.ID, "error", err)
 		return
 	}
 	h.log.Debug("entry: report", "pool", pool, "endpoint", e.ID, "sequence", report.Sequence, "active", report.Active, "pending", report.Pending,
-		"born", report.Born, "registered", e.Born)
+		"born", report.Born, "registered", e.Born, "models", fmt.Sprint(report.Models), "from", fmt.Sprint(e.Models))
 	h.mu.Lock()
 	held.planner.Report(h.Now(), e.ID, report)
 	h.mu.Unlock()
--- a/residency/engine.go
+++ b/residency/engine.go
@@ -21,6 +21,7 @@
 	target   string        // model for which room is made
 	since    time.Duration // last order that was accepted
 	asked    time.Duration // last report asked for
+	checked  time.Duration // registration for which a report was asked
 	wanted   []Ticket
 	retry    time.Duration // no order before
 }
@@ -58,6 +59,25 @@
 	}
 }
 
+// holdsExactly reports whether the engine is known to hold these models with these adapters and no others.
+func (e *engine) holdsExactly(models []Model) bool {
+	if len(models) != len(e.models) {
+		return false
+	}
+	for _, m := range models {
+		h := e.models[m.Name]
+		if h == nil || len(m.Adapters) != len(h.adapters) {
+			return false
+		}
+		for _, a := range m.Adapters {
+			if _, held := h.adapters[a]; !held {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // adapters returns the places for adapters in use.
 func (e *engine) adapters() int {
 	count := 0
--- a/residency/place.go
+++ b/residency/place.go
@@ -84,8 +84,23 @@
 	return orders
 }
 
-// load returns the order that loads an engine's target, unless the weight store's rate is used up.
+// room returns the megabytes for models that are free on an engine, with all places for adapters taken.
+func (p *Planner) room(e *engine) float64 {
+	room := p.spec.Engine.Weights - p.adapterReserve(e)
+	for name, h := range e.models {
+		spec := p.spec.Engine.Models[name]
+		room -= spec.Weights + float64(len(h.adapters))*spec.Adapter
+	}
+	return room
+}
+
+// load returns the order that loads an engine's target, unless there is no room for it, or the weight store's rate is
+// used up.
 func (p *Planner) load(e *engine) (Order, bool) {
+	if p.room(e) < p.spec.Engine.Models[e.target].Weights || e.models[e.target] != nil {
+		e.target = ""
+		return Order{}, false
+	}
 	if p.cold(e, e.target) {
 		if p.tokens < 1 {
 			return Order{}, false
@@ -217,13 +232,10 @@
 // moveTo returns how an engine can take a model.
 func (p *Planner) moveTo(e *engine, model string, replicas map[string]replica) (move, bool) {
 	m := move{engine: e, time: p.loadTime(e, model)}
-	room := p.spec.Engine.Weights
-	for name, h := range e.models {
-		spec := p.spec.Engine.Models[name]
-		room -= spec.Weights + float64(len(h.adapters))*spec.Adapter
+	room := p.room(e)
+	for name := range e.models {
 		m.load += replicas[name].load(replicas[name].count)
 	}
-	room -= p.adapterReserve(e)
 	need := p.spec.Engine.Models[model].Weights
 	if room >= need {
 		return m, true
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -37,6 +37,8 @@
 	// settleTime is how long a planner waits after a new engine appeared before it loads models that nobody holds,
 	// because engines that start together register one after the other.
 	settleTime = 2 * time.Second
+	// reportLag is how far a report may lag behind what the engine holds.
+	reportLag = 600 * time.Millisecond
 	// patience is the longest time for which a model load or unload is believed to be under way.
 	patience = 30 * time.Second
 )
@@ -88,17 +90,19 @@
 	slices.Sort(p.names)
 }
 
-// refresh takes a registration of a known process. Registrations lag behind orders, so one that comes shortly
-// after an order only shows that a load or an unload is complete.
+// refresh takes a registration of a known process. Registrations lag behind orders: they show that a load is
+// complete, and one that differs from what is known, though the last order is long past, makes the planner ask for a
+// report. What an engine holds is never taken from a registration, which may be older than the last report.
 func (p *Planner) refresh(now time.Duration, e *engine, d directory.Endpoint) {
 	e.Endpoint = d
 	models := modelsOf(d)
 	if e.loading != "" && slices.ContainsFunc(models, func(m Model) bool { return m.Name == e.loading }) {
 		e.models[e.loading] = &holding{adapters: map[string]time.Duration{}}
-		e.loading = ""
+		e.loading, e.since = "", now
 	}
-	if e.current == nil && now-e.since > registrationLag {
-		e.adopt(now, models)
+	if e.current == nil && d.Seen > e.checked && d.Seen-e.since > registrationLag && !e.holdsExactly(models) {
+		e.checked = d.Seen
+		e.synced = false
 	}
 }
 
@@ -198,7 +202,7 @@
 	for _, id := range p.names {
 		e := p.engines[id]
 		stuck := (e.loading != "" || e.leaving != "") && now-e.since > time.Second
-		if e.current != nil || e.Leaving || e.synced && !stuck || now-e.asked < reportRetry {
+		if e.current != nil || e.Leaving || e.synced && !stuck || now-e.asked < reportRetry || now-e.since < reportLag {
 			continue
 		}
 		e.asked = now
@@ -207,10 +211,11 @@
 	return list
 }
 
-// Report takes an engine's report. One that was asked for before the last order was answered changes nothing.
+// Report takes an engine's report. One that was asked for too soon after the last order changes nothing, because
+// reports lag.
 func (p *Planner) Report(now time.Duration, endpoint string, r Report) {
 	e := p.engines[endpoint]
-	if e == nil || e.current != nil || r.Born != 0 && r.Born != e.Born {
+	if e == nil || e.current != nil || r.Born != 0 && r.Born != e.Born || r.Asked-e.since < reportLag {
 		return
 	}
 	if r.Sequence < e.sequence {
