entry: set the header of a stream with its first event

Ruled out: answers held for a later attempt, whose status is the endpoint's.

Change: the header is set when there is something to hand over.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -137,7 +137,6 @@
 	w := t.writer
 	control := http.NewResponseController(w)
 	if !t.begun {
-		platform.CopyAnswerHeader(w.Header(), answer.Header)
 		if err := control.SetWriteDeadline(time.Now().Add(t.until - h.Now() + writeSlack)); err != nil {
 			h.log.Warn("entry: unable to bound writing", "request", t.request.ID, "error", err)
 		}
@@ -152,7 +151,7 @@
 				reported = true
 				h.Apply(dispatch.First{Number: t.number})
 			}
-			t.begun = true
+			t.begin(answer)
 			if _, failed := w.Write(whole); failed != nil {
 				h.Apply(dispatch.Left{Number: t.number})
 				return true
@@ -175,12 +174,21 @@
 	}
 }
 
+// begin sets the header of the answer from the first endpoint that has something to hand over. An attempt that fails
+// before leaves no trace in a later answer.
+func (t *task) begin(answer *connection.Answer) {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	platform.CopyAnswerHeader(t.writer.Header(), answer.Header)
+	t.writer.WriteHeader(answer.StatusCode)
+}
+
 // streamed ends a stream that is complete.
 func (h *Host) streamed(t *task, answer *connection.Answer) bool {
 	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true})
-	if !t.begun {
-		t.writer.WriteHeader(answer.StatusCode)
-	}
+	t.begin(answer)
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
 		"attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume)
 	return true
