entry: reach the store through other hosts while it turns this one away

Ruled out: a faster takeover alone, because orders of two hosts must be three seconds apart.

Change: calls to the store go through another host when the direct call fails; a host without any contact for 10 s, and without a majority of hosts that have none either, no longer relies on keys; a renewal whose answer was lost is recognised when the row is read.

--- a/config/entry.go
+++ b/config/entry.go
@@ -17,8 +17,12 @@
 	defaultLease       = 3 * time.Second
 	defaultRetryWindow = 10 * time.Second
 	defaultLoadWindow  = 5 * time.Second
+	defaultTrust       = 10 * time.Second // within seconds, and above the pauses of a store that is slow
 )
 
+// minTrust is above the time between two answers of a store that is well.
+const minTrust = 6 * time.Second
+
 // Entry holds the settings of an entry host on a platform whose endpoints register themselves.
 type Entry struct {
 	Name      string            `json:"name"`
@@ -32,6 +36,7 @@
 	Files     int               `json:"files"`     // descriptors that the process may use
 	Grace     document.Duration `json:"grace"`     // between SIGTERM and the end of the process
 	Lease     document.Duration `json:"lease"`     // least time between orders of two hosts
+	Trust     document.Duration `json:"trust"`     // without contact, after which keys are no longer relied on
 	Retries   Retries           `json:"retries"`
 	Loads     Loads             `json:"loads"`
 	Log       Log               `json:"log"`
@@ -57,6 +62,7 @@
 		Files:   1024,
 		Grace:   document.Duration(defaultGrace),
 		Lease:   document.Duration(defaultLease),
+		Trust:   document.Duration(defaultTrust),
 		Retries: Retries{Share: 0.2, Floor: 10, Window: document.Duration(defaultRetryWindow)},
 		Loads:   Loads{Window: document.Duration(defaultLoadWindow), Excess: 1},
 		Log:     Log{Level: "info", Format: "json"},
@@ -119,6 +125,7 @@
 	c.Require(e.Files >= 64, "files", e.Files, "64 or more")
 	c.Require(e.Grace > 0, "grace", e.Grace, e.Grace.Allowed())
 	c.Require(e.Lease > 0, "lease", e.Lease, e.Lease.Allowed())
+	c.Require(e.Trust >= document.Duration(minTrust), "trust", e.Trust, "a duration of 6s or more")
 	c.Require(e.Retries.Share >= 0 && e.Retries.Share <= 1, "retries.share", e.Retries.Share, "0 to 1")
 	c.Require(e.Retries.Floor >= 0, "retries.floor", e.Retries.Floor, "0 or more")
 	c.Require(e.Retries.Window > 0, "retries.window", e.Retries.Window, e.Retries.Window.Allowed())
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -17,6 +17,7 @@
 type Arrive struct {
 	Number  uint64 // unique within the process
 	Request *intake.Request
+	Cut     bool // the host has been cut off for so long that keys may have been withdrawn
 }
 
 // First says that an endpoint has begun to answer.
--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -17,7 +17,7 @@
 	TimedOut                   // timed out
 	Rejected                   // rejected by the endpoint
 	Broken                     // attempt failed
-	Stopping                   // host is stopping
+	CutOff                     // host is cut off
 )
 
 // Ran says whether a refused request was run.
--- a/dispatch/reason_string.go
+++ b/dispatch/reason_string.go
@@ -18,12 +18,12 @@
 	_ = x[TimedOut-7]
 	_ = x[Rejected-8]
 	_ = x[Broken-9]
-	_ = x[Stopping-10]
+	_ = x[CutOff-10]
 }
 
-const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is stopping"
+const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut off"
 
-var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 155}
+var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -97,6 +97,9 @@
 	}
 	r := &request{arrive: a, route: found, arrived: now}
 	if !found.Open && s.catalog.Keyed() {
+		if a.Cut {
+			return nil, CutOff
+		}
 		owner, issued := catalog.Account{}, false
 		if a.Request.HasKey {
 			owner, issued = s.catalog.AccountByKey(a.Request.Key)
--- /dev/null
+++ b/entry/access.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"magnoliahoist/peer"
+	"magnoliahoist/platform"
+	"magnoliahoist/table"
+)
+
+const (
+	// probePeriod is the time between two calls to a store that did not answer; every call is paid for, refused
+	// ones too.
+	probePeriod = 700 * time.Millisecond
+	// commitTimeout bounds a write, so that a holder can renew its lease through another host in time.
+	commitTimeout = 600 * time.Millisecond
+	// relayWait bounds the wait of a call for changes that goes through another host.
+	relayWait = 5 * time.Second
+	// relayPeers is how many hosts are asked in one round.
+	relayPeers = 7
+)
+
+// access is the host's way to the store: directly, or through another host while the store turns this one away.
+type access struct {
+	store *platform.Store
+	peers func() (*peer.Client, []peer.Target) // other hosts, in a fixed order
+	self  peer.Sender
+	now   func() time.Duration
+
+	mu     sync.Mutex
+	away   bool          // the last direct call failed
+	probed time.Duration // last direct call while away
+	first  int           // host that is asked first
+	heard  time.Duration // last contact with the store, or with a majority of hosts that have none either
+}
+
+// Away reports whether the store does not answer this host.
+func (a *access) Away() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.away
+}
+
+// Silence returns how long the host has had no contact with the store, through whichever host, nor with a majority of
+// hosts without contact. What it knows of keys and routes may be outdated by as much.
+func (a *access) Silence() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now() - a.heard
+}
+
+// direct reports whether the store may be called now.
+func (a *access) direct() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.away {
+		return true
+	}
+	if a.now()-a.probed < probePeriod {
+		return false
+	}
+	a.probed = a.now()
+	return true
+}
+
+// note takes the result of a direct call.
+func (a *access) note(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err == nil || errors.Is(err, table.ErrCompacted) {
+		a.away, a.heard = false, a.now()
+		return
+	}
+	if !a.away {
+		a.away, a.probed = true, a.now()
+	}
+}
+
+// ReadAll returns all rows of a table. The error is table.ErrUnavailable.
+func (a *access) ReadAll(ctx context.Context, name string) (table.Snapshot, error) {
+	err := error(table.ErrUnavailable)
+	if a.direct() {
+		var snapshot table.Snapshot
+		snapshot, err = a.store.ReadAll(ctx, name)
+		if a.note(err); err == nil {
+			return snapshot, nil
+		}
+	}
+	return a.relayRead(ctx, &peer.ReadRequest{Table: name, Whole: true}, err)
+}
+
+// Follow returns the rows that were changed after a revision. Errors are table.ErrCompacted and table.ErrUnavailable.
+func (a *access) Follow(ctx context.Context, name string, after int64, wait time.Duration) (table.Snapshot, error) {
+	err := error(table.ErrUnavailable)
+	if a.direct() {
+		var snapshot table.Snapshot
+		snapshot, err = a.store.Follow(ctx, name, after, wait)
+		if a.note(err); err == nil || errors.Is(err, table.ErrCompacted) {
+			return snapshot, err
+		}
+	}
+	return a.relayRead(ctx, &peer.ReadRequest{Table: name, After: after, Wait: int64(min(wait, relayWait))}, err)
+}
+
+// Commit applies a transaction. Errors are table.ErrNotSent and table.ErrUnknown.
+func (a *access) Commit(ctx context.Context, txn table.Txn) (table.Result, error) {
+	err := error(table.ErrNotSent)
+	if a.direct() {
+		var result table.Result
+		short, cancel := context.WithTimeout(ctx, commitTimeout)
+		result, err = a.store.Commit(short, txn)
+		cancel()
+		if a.note(err); err == nil {
+			return result, nil
+		}
+	}
+	return a.relayCommit(ctx, txn, err)
+}
+
+// relayRead asks other hosts in turn until one has an answer of the store. Without one, the error is that given.
+func (a *access) relayRead(ctx context.Context, request *peer.ReadRequest, failed error) (table.Snapshot, error) {
+	var snapshot table.Snapshot
+	var compacted error
+	done := a.round(func(client *peer.Client, to peer.Target) (answered, served bool) {
+		answer, err := client.Read(ctx, to, a.self, request)
+		switch {
+		case err != nil:
+			return false, false
+		case answer.GetAway():
+			return true, false
+		case answer.GetCompacted():
+			compacted = errors.Annotate(table.ErrCompacted, "entry: unable to follow a table through another host")
+		}
+		snapshot = table.Snapshot{Rows: peer.TableRows(answer.GetRows()), Revision: answer.GetRevision()}
+		return true, true
+	})
+	if !done {
+		return table.Snapshot{}, failed
+	}
+	return snapshot, compacted
+}
+
+// relayCommit has another host write a transaction. Writes are conditional, or put what is the same however often it
+// is put, so that one whose result is unknown may be tried through the next host.
+func (a *access) relayCommit(ctx context.Context, txn table.Txn, failed error) (table.Result, error) {
+	var result table.Result
+	done := a.round(func(client *peer.Client, to peer.Target) (answered, served bool) {
+		answer, err := client.Write(ctx, to, a.self, peer.RequestOf(txn))
+		if err != nil {
+			return false, false
+		}
+		result = table.Result{Committed: answer.GetCommitted(), Revision: answer.GetRevision()}
+		return true, !answer.GetAway()
+	})
+	if !done {
+		return table.Result{}, failed
+	}
+	return result, nil
+}
+
+// round asks other hosts until one serves. When a majority of all hosts, this one included, has no contact with the
+// store, nothing can have been changed as far as can be known, which counts as contact.
+func (a *access) round(ask func(client *peer.Client, to peer.Target) (answered, served bool)) bool {
+	client, targets := a.peers()
+	if client == nil {
+		return false
+	}
+	a.mu.Lock()
+	first := a.first
+	a.mu.Unlock()
+	agreeing := 1
+	for n := range min(len(targets), relayPeers) {
+		at := (first + n) % len(targets)
+		answered, served := ask(client, targets[at])
+		if served {
+			a.mu.Lock()
+			a.first, a.heard = at, a.now()
+			a.mu.Unlock()
+			return true
+		}
+		if answered {
+			agreeing++
+		}
+	}
+	if 2*agreeing > len(targets)+1 {
+		a.mu.Lock()
+		a.heard = a.now()
+		a.mu.Unlock()
+	}
+	return false
+}
+
+// targets returns the client for other hosts and their addresses in the order of their names.
+func (h *Host) targets() (*peer.Client, []peer.Target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []peer.Target
+	for _, name := range slices.Sorted(maps.Keys(h.fleet.members)) {
+		if m := h.fleet.members[name]; m.ID != h.fleet.self.ID {
+			list = append(list, peer.Target{ID: m.ID, Address: m.Address})
+		}
+	}
+	return h.fleet.client, list
+}
+
+// readFor makes a reading call to the store for a host that the store turns away.
+func (h *Host) readFor(ctx context.Context, r *peer.ReadRequest) *peer.ReadResponse {
+	if h.store.Away() {
+		return &peer.ReadResponse{Away: true}
+	}
+	var snapshot table.Snapshot
+	var err error
+	if r.GetWhole() {
+		snapshot, err = h.store.store.ReadAll(ctx, r.GetTable())
+	} else {
+		snapshot, err = h.store.store.Follow(ctx, r.GetTable(), r.GetAfter(), min(time.Duration(r.GetWait()), relayWait))
+	}
+	switch {
+	case errors.Is(err, table.ErrCompacted):
+		return &peer.ReadResponse{Compacted: true}
+	case err != nil:
+		h.log.Info("entry: unable to read for another host", "host", r.GetHeader().GetFrom(), "table", r.GetTable(), "error", err)
+		return &peer.ReadResponse{Away: true}
+	}
+	return &peer.ReadResponse{Rows: peer.RowsOf(snapshot.Rows), Revision: snapshot.Revision}
+}
+
+// writeFor makes a write for a host that the store turns away.
+func (h *Host) writeFor(ctx context.Context, r *peer.WriteRequest) (*peer.WriteResponse, error) {
+	if h.store.Away() {
+		return &peer.WriteResponse{Away: true}, nil
+	}
+	result, err := h.store.store.Commit(ctx, peer.TxnOf(r))
+	if errors.Is(err, table.ErrNotSent) {
+		return &peer.WriteResponse{Away: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &peer.WriteResponse{Committed: result.Committed, Revision: result.Revision}, nil
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -108,7 +108,7 @@
 func (h *Host) serve(parent context.Context, t *task) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	t.inbox, t.until = h.open(dispatch.Arrive{Number: t.number, Request: t.request})
+	t.inbox, t.until = h.open(dispatch.Arrive{Number: t.number, Request: t.request, Cut: h.store.Silence() > h.settings.Trust.Std()})
 	defer h.close(t.number)
 	if t.until > 0 {
 		timer := time.AfterFunc(t.until-h.Now(), func() { cancel(errExpired) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,7 +35,7 @@
 	settings    config.Entry
 	start       time.Duration // since boot
 	log         hclog.Logger
-	store       *platform.Store
+	store       *access
 	connections *connection.Pool
 	tomb        tomb.Tomb
 	numbers     atomic.Uint64
@@ -73,7 +73,6 @@
 		settings:  settings,
 		start:     sinceBoot(),
 		log:       log.Named("entry"),
-		store:     platform.NewStore(settings.Store),
 		directory: directory.New(),
 		waiting:   map[uint64]chan dispatch.Effect{},
 		holdings:  map[string]*holding{},
@@ -94,6 +93,7 @@
 	h.stop.began = make(chan struct{})
 	h.engines = platform.NewEngines(h.connections, settings.Name)
 	h.fleet = newFleet(settings.Peers, settings.Domain)
+	h.store = &access{store: platform.NewStore(settings.Store), peers: h.targets, self: h.sender(), now: h.Now}
 	return h
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -77,6 +77,7 @@
 func (h *Host) followFleet() error {
 	return h.follow(follower{
 		name: fleetTable,
+		wait: feedWait,
 		replace: func(rows []table.Row) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -15,6 +15,9 @@
 const (
 	// feedWait is how long a call for changes may wait at the store; every call is paid for.
 	feedWait = 20 * time.Second
+	// operatorWait is the same for the configuration. Its answers also show that the store can be reached, so it is
+	// well below the time for which a host relies on what it knows without contact.
+	operatorWait = 4 * time.Second
 	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
 	feedPause      = 100 * time.Millisecond
 	feedPauseLimit = 800 * time.Millisecond
@@ -29,6 +32,8 @@
 	// replace takes all rows, change those that were changed.
 	replace func(rows []table.Row)
 	change  func(rows []table.Row)
+	// wait is how long a call for changes may wait at the store.
+	wait time.Duration
 	// rest is the wait after a change, in which others gather; every call is paid for.
 	rest time.Duration
 	// lost and regained tell of the store's absence; they may be nil.
@@ -95,7 +100,7 @@
 	if whole {
 		return h.store.ReadAll(ctx, f.name)
 	}
-	return h.store.Follow(ctx, f.name, revision, feedWait)
+	return h.store.Follow(ctx, f.name, revision, f.wait)
 }
 
 // sleep waits, but not beyond the host's end.
@@ -110,7 +115,7 @@
 
 // followOperator follows the operator's configuration.
 func (h *Host) followOperator() error {
-	return h.follow(follower{name: platform.OperatorTable, replace: h.configure, change: h.configure})
+	return h.follow(follower{name: platform.OperatorTable, wait: operatorWait, replace: h.configure, change: h.configure})
 }
 
 // configure puts the newest configuration among the rows in force.
@@ -140,6 +145,7 @@
 func (h *Host) followEndpoints() error {
 	return h.follow(follower{
 		name: platform.EndpointTable,
+		wait: feedWait,
 		rest: endpointRest,
 		replace: func(rows []table.Row) {
 			var all []directory.Endpoint
--- a/entry/service.go
+++ b/entry/service.go
@@ -47,7 +47,17 @@
 	return &peer.FetchResponse{Loaded: loaded}, nil
 }
 
-// Sync is not offered yet: hosts learn of changes from the store.
+// Read makes a reading call to the store for a host that the store turns away.
+func (s *peerService) Read(ctx context.Context, r *peer.ReadRequest) (*peer.ReadResponse, error) {
+	return s.host.readFor(ctx, r), nil
+}
+
+// Write makes a write for a host that the store turns away.
+func (s *peerService) Write(ctx context.Context, r *peer.WriteRequest) (*peer.WriteResponse, error) {
+	return s.host.writeFor(ctx, r)
+}
+
+// Sync is not offered: hosts learn of changes from the store, or by Read.
 func (s *peerService) Sync(context.Context, *peer.SyncRequest) (*peer.SyncResponse, error) {
 	return nil, errUnimplemented
 }
--- a/host/service.go
+++ b/host/service.go
@@ -151,5 +151,18 @@
 
 // Fetch is answered by hosts whose endpoints register themselves.
 func (s *peerService) Fetch(context.Context, *peer.FetchRequest) (*peer.FetchResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "host: adapters are placed by the pools table")
+	return nil, errNotOffered
 }
+
+// Read is answered by hosts whose endpoints register themselves.
+func (s *peerService) Read(context.Context, *peer.ReadRequest) (*peer.ReadResponse, error) {
+	return nil, errNotOffered
+}
+
+// Write is answered by hosts whose endpoints register themselves.
+func (s *peerService) Write(context.Context, *peer.WriteRequest) (*peer.WriteResponse, error) {
+	return nil, errNotOffered
+}
+
+// errNotOffered answers calls that only hosts whose endpoints register themselves offer.
+var errNotOffered = twirp.NewError(twirp.Unimplemented, "host: endpoints are named by the pools table")
--- a/lease/term.go
+++ b/lease/term.go
@@ -42,6 +42,7 @@
 	looked   time.Duration // when the row was read last
 	acting   time.Duration // end of the time in which this process may act
 	asked    time.Duration // start of the last write
+	written  Tenancy       // content of the last write
 	pending  bool
 }
 
@@ -57,8 +58,11 @@
 		return
 	}
 	t.row, t.revision, t.changed, t.known = row, revision, now, true
-	if row.Holder != t.self {
+	switch {
+	case row.Holder != t.self:
 		t.acting = 0
+	case row == t.written && !row.Released:
+		t.acting = max(t.acting, t.asked+t.settings.Guard) // the write whose result was lost
 	}
 }
 
@@ -105,7 +109,7 @@
 }
 
 func (t *Term) begin(now time.Duration, action Action, row Tenancy) (Action, Tenancy, int64) {
-	t.pending, t.asked = true, now
+	t.pending, t.asked, t.written = true, now, row
 	return action, row, t.revision
 }
 
@@ -126,6 +130,6 @@
 	if !t.Acts(now) {
 		return Tenancy{}, 0, false
 	}
-	t.acting = 0
+	t.acting, t.written = 0, Tenancy{}
 	return Tenancy{Holder: t.self, Number: t.row.Number, Renewal: t.row.Renewal + 1, Released: true}, t.revision, true
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -17,6 +17,8 @@
 	borrowTimeout = 300 * time.Millisecond
 	// fetchTimeout bounds a call for an adapter, which takes milliseconds unless many are fetched at once.
 	fetchTimeout = 700 * time.Millisecond
+	// relayTimeout bounds a call that goes on to the table service, besides the wait that it asks for.
+	relayTimeout = 500 * time.Millisecond
 	// readTimeout bounds calls for summaries and timelines, on which nothing waits.
 	readTimeout = 2 * time.Second
 )
@@ -122,6 +124,18 @@
 	return call(ctx, c, to, fetchTimeout, Peer.Fetch, request)
 }
 
+// Read makes a reading call to the table service through another host. The header of the request is filled in.
+func (c *Client) Read(ctx context.Context, to Target, from Sender, request *ReadRequest) (*ReadResponse, error) {
+	request.Header = header(to, from)
+	return call(ctx, c, to, relayTimeout+time.Duration(request.GetWait()), Peer.Read, request)
+}
+
+// Write makes a transaction through another host. The header of the request is filled in.
+func (c *Client) Write(ctx context.Context, to Target, from Sender, request *WriteRequest) (*WriteResponse, error) {
+	request.Header = header(to, from)
+	return call(ctx, c, to, relayTimeout, Peer.Write, request)
+}
+
 // Timeline returns the member's events after the stamp.
 func (c *Client) Timeline(ctx context.Context, to Target, from Sender, after int64) (*TimelineResponse, error) {
 	return call(ctx, c, to, readTimeout, Peer.Timeline, &TimelineRequest{Header: header(to, from), After: after})
--- a/peer/row.go
+++ b/peer/row.go
@@ -11,18 +11,47 @@
 func RowsOf(rows []table.Row) []*Row {
 	list := make([]*Row, len(rows))
 	for i, row := range rows {
-		list[i] = &Row{Key: row.Key, Value: row.Value, Revision: row.Revision}
+		list[i] = &Row{Key: row.Key, Value: row.Value, Revision: row.Revision, Deleted: row.Deleted}
 	}
 	return list
 }
 
+// TableRows returns the messages as rows.
+func TableRows(rows []*Row) []table.Row {
+	list := make([]table.Row, len(rows))
+	for i, row := range rows {
+		list[i] = table.Row{Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision(), Deleted: row.GetDeleted()}
+	}
+	return list
+}
+
+// RequestOf returns the transaction as a message.
+func RequestOf(txn table.Txn) *WriteRequest {
+	request := &WriteRequest{}
+	for _, c := range txn.Compares {
+		request.Conditions = append(request.Conditions, &Condition{Key: c.Key, Revision: c.Revision})
+	}
+	for _, w := range txn.Writes {
+		request.Changes = append(request.Changes, &Change{Key: w.Key, Value: w.Value, Delete: w.Delete})
+	}
+	return request
+}
+
+// TxnOf returns the message as a transaction.
+func TxnOf(request *WriteRequest) table.Txn {
+	var txn table.Txn
+	for _, c := range request.GetConditions() {
+		txn.Compares = append(txn.Compares, table.Compare{Key: c.GetKey(), Revision: c.GetRevision()})
+	}
+	for _, c := range request.GetChanges() {
+		txn.Writes = append(txn.Writes, table.Write{Key: c.GetKey(), Value: c.GetValue(), Delete: c.GetDelete()})
+	}
+	return txn
+}
+
 // Snapshot returns the rows and revision of the answer.
 func (x *SyncResponse) Snapshot() table.Snapshot {
-	s := table.Snapshot{Revision: x.GetRevision(), Rows: make([]table.Row, len(x.GetRows()))}
-	for i, row := range x.GetRows() {
-		s.Rows[i] = table.Row{Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision()}
-	}
-	return s
+	return table.Snapshot{Revision: x.GetRevision(), Rows: TableRows(x.GetRows())}
 }
 
 // Source returns the member that answered, as the source of the snapshot.
--- a/peer/server.go
+++ b/peer/server.go
@@ -72,6 +72,10 @@
 		reply = &r.Reply
 	case *FetchResponse:
 		reply = &r.Reply
+	case *ReadResponse:
+		reply = &r.Reply
+	case *WriteResponse:
+		reply = &r.Reply
 	case *TimelineResponse:
 		reply = &r.Reply
 	default:
