platform, dispatch, residency, lease, connection: tests, and stand-ins of the platform's dialect

Cause: what serves the platform had no tests of its own.

Change: tables and properties for each package; stand-ins for the store and for endpoints in platform/standin, also as stand-in processes; fuzz targets for requests and rows.

--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,112 @@
+package catalog_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/catalog"
+)
+
+func newCatalog() *catalog.Catalog {
+	return catalog.New(catalog.Document{
+		Version:  4,
+		Accounts: []catalog.Account{{Name: "yards", Tokens: true, Plain: 200, Rate: 100, Burst: 50}, {Name: "gyms"}},
+		Keys:     map[catalog.Digest]string{catalog.DigestOf("k1"): "yards", catalog.DigestOf("stray"): "nobody"},
+		Routes: []catalog.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/"},
+		},
+	})
+}
+
+// TestRouteFor guards against a shorter prefix hiding a longer one, and against routes of another host.
+func TestRouteFor(t *testing.T) {
+	c := newCatalog()
+	for name, test := range map[string]struct {
+		host, path, want string
+	}{
+		"longest prefix":     {"a.example", "/x/y/z", "long"},
+		"shorter prefix":     {"a.example", "/x/z", "short"},
+		"host in other case": {"A.EXAMPLE", "/x/y/", "long"},
+		"other host":         {"b.example", "/x/y/", "other"},
+		"no slash at end":    {"a.example", "/x", ""},
+		"unknown host":       {"c.example", "/x/", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, known := c.RouteFor(test.host, test.path)
+			qt.Check(t, r.Name, qt.Equals, test.want)
+			qt.Check(t, known, qt.Equals, test.want != "")
+		})
+	}
+}
+
+// TestAccountByKey guards against a key that belongs to no account, or to an account that doesn't exist.
+func TestAccountByKey(t *testing.T) {
+	c := newCatalog()
+	for name, test := range map[string]struct{ key, want string }{
+		"issued":          {"k1", "yards"},
+		"unknown":         {"k2", ""},
+		"unknown account": {"stray", ""},
+		"empty":           {"", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, issued := c.AccountByKey(catalog.DigestOf(test.key))
+			qt.Check(t, a.Name, qt.Equals, test.want)
+			qt.Check(t, issued, qt.Equals, test.want != "")
+		})
+	}
+}
+
+// TestCost guards against requests without a token count being free.
+func TestCost(t *testing.T) {
+	for name, test := range map[string]struct {
+		account catalog.Account
+		tokens  int64
+		want    int64
+	}{
+		"stated":        {catalog.Account{Tokens: true, Plain: 200}, 1500, 1500},
+		"not stated":    {catalog.Account{Tokens: true, Plain: 200}, 0, 200},
+		"no plain cost": {catalog.Account{Tokens: true}, 0, 1},
+		"by requests":   {catalog.Account{}, 1500, 1},
+	} {
+		t.Run(name, func(t *testing.T) { qt.Check(t, test.account.Cost(test.tokens), qt.Equals, test.want) })
+	}
+}
+
+// TestPoolFor guards against traffic that goes to a pool with no weight, or nowhere.
+func TestPoolFor(t *testing.T) {
+	split := catalog.Route{Shares: []catalog.Share{{Pool: "a", Weight: 90}, {Pool: "none", Weight: 0}, {Pool: "b", Weight: 10}}}
+	for name, test := range map[string]struct {
+		route catalog.Route
+		point float64
+		want  string
+	}{
+		"first":       {split, 0, "a"},
+		"below split": {split, 0.89, "a"},
+		"above split": {split, 0.91, "b"},
+		"end":         {split, 0.999999, "b"},
+		"no shares":   {catalog.Route{}, 0.5, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool, _ := test.route.PoolFor(test.point)
+			qt.Check(t, pool, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestRepeatable guards against a stream that is run twice because its route says nothing of resuming.
+func TestRepeatable(t *testing.T) {
+	for name, test := range map[string]struct {
+		route catalog.Route
+		want  bool
+	}{
+		"idempotent":     {catalog.Route{Repeat: catalog.Idempotent}, true},
+		"once":           {catalog.Route{Repeat: catalog.Once}, false},
+		"stream":         {catalog.Route{Repeat: catalog.Once, Stream: true}, false},
+		"resumed stream": {catalog.Route{Repeat: catalog.Once, Stream: true, Resume: true}, true},
+	} {
+		t.Run(name, func(t *testing.T) { qt.Check(t, test.route.Repeatable(), qt.Equals, test.want) })
+	}
+}
--- a/cli/host.go
+++ b/cli/host.go
@@ -44,7 +44,7 @@
 }
 
 type standinCommand struct {
-	Kind    string `arg:"" help:"table, objects, hosts, weights, engine or service."`
+	Kind    string `arg:"" help:"table, objects, hosts, weights, engine or service; store or endpoint of the platform whose endpoints register themselves."`
 	Listen  string `default:"127.0.0.1:0" placeholder:"ADDRESS" help:"Address to listen on."`
 	Options string `placeholder:"JSON" help:"Options of the stand-in."`
 }
--- a/dev/standin.go
+++ b/dev/standin.go
@@ -17,6 +17,7 @@
 	"magnoliahoist/fakeservice"
 	"magnoliahoist/faketable"
 	"magnoliahoist/fakeweights"
+	"magnoliahoist/platform/standin"
 )
 
 // Standin is a stand-in that answers on a listener.
@@ -107,13 +108,33 @@
 	return string(data)
 }
 
-// RunStandin runs one stand-in until the context ends. It writes the address on which it listens.
-func RunStandin(ctx context.Context, kind, listen, options string, out io.Writer) error {
-	o, err := ParseOptions([]byte(options))
+// NewPlatformStandin returns a stand-in for the platform whose endpoints register themselves, by its kind: store or
+// endpoint. The options of an endpoint are standin.Settings as JSON.
+func NewPlatformStandin(kind string, options []byte) (Standin, error) {
+	if kind == "store" {
+		return standin.NewStore(), nil
+	}
+	var settings standin.Settings
+	if err := document.Decode(options, &settings); err != nil {
+		return nil, err
+	}
+	return standin.NewEndpoint(settings), nil
+}
+
+func newStandin(kind string, options []byte) (Standin, error) {
+	if kind == "store" || kind == "endpoint" {
+		return NewPlatformStandin(kind, options)
+	}
+	o, err := ParseOptions(options)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	standin, err := NewStandin(kind, o)
+	return NewStandin(kind, o)
+}
+
+// RunStandin runs one stand-in until the context ends. It writes the address on which it listens.
+func RunStandin(ctx context.Context, kind, listen, options string, out io.Writer) error {
+	standin, err := newStandin(kind, []byte(options))
 	if err != nil {
 		return err
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -19,6 +19,8 @@
 	// overfill bounds the requests at an endpoint against its slots. The engine queues what exceeds the slots,
 	// by urgency, and refuses beyond twice that.
 	overfill = 1.25
+	// firstOverhead is the time to the first token besides that of reading: links, and the step that is under way.
+	firstOverhead = 20 * time.Millisecond
 	// goalShare is the part of its goal within which a request must be expected to be answered to count as in time.
 	goalShare = 0.9
 	// patienceShare is the part of its caller's patience within which a late request must be expected to be answered.
@@ -149,7 +151,7 @@
 // firstToken estimates the time until an endpoint has read a prompt at the level of a choice.
 func (s *State) firstToken(now time.Duration, n *node, c choice) time.Duration {
 	tokens := n.backlogBefore(now, c.level) + n.othersBefore(now, c.level) + float64(c.unread)
-	wait := time.Duration(tokens / readRate * n.slow * float64(time.Second))
+	wait := firstOverhead + time.Duration(tokens/readRate*n.slow*float64(time.Second))
 	if c.fetch {
 		wait += fetchCost
 	}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -20,6 +20,7 @@
 	IgnoreFence bool              `json:"ignoreFence,omitempty"` // fencing numbers are not checked
 	CutStream   int               `json:"cutStream,omitempty"`   // the connection is closed in the middle of a stream
 	SwapReply   int               `json:"swapReply,omitempty"`   // the answer belongs to another request
+	Full        bool              `json:"full,omitempty"`        // requests are refused as not run
 	LoseEvent   int               `json:"loseEvent,omitempty"`   // cache events that leave a gap
 	Lag         document.Duration `json:"lag,omitempty"`         // age of load reports and cache events
 }
--- a/lease/term.go
+++ b/lease/term.go
@@ -122,7 +122,9 @@
 		return
 	}
 	t.row, t.revision, t.changed = row, revision, t.asked
-	t.acting = t.asked + t.settings.Guard
+	if !row.Released {
+		t.acting = t.asked + t.settings.Guard
+	}
 }
 
 // Release returns the write that gives the lease up, and false when this process does not hold it.
--- /dev/null
+++ b/lease/term_test.go
@@ -0,0 +1,147 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"magnoliahoist/lease"
+)
+
+var termSettings = lease.TermSettings{Renew: 800 * time.Millisecond, Guard: 1800 * time.Millisecond, Gap: 3400 * time.Millisecond}
+
+// termRow is the row of a lease in a store.
+type termRow struct {
+	content  lease.Tenancy
+	revision int64
+}
+
+// pendingWrite is a write that may still take effect.
+type pendingWrite struct {
+	host     int
+	content  lease.Tenancy
+	expected int64
+}
+
+// TestTermGap plays hosts that read, renew, freeze and lose answers, with writes that take effect late, and guards
+// against two hosts acting within the gap of each other.
+func TestTermGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		terms := make([]*lease.Term, len(names))
+		for i, name := range names {
+			terms[i] = lease.NewTerm(termSettings, name)
+		}
+		now := time.Minute
+		row := termRow{}
+		var late []pendingWrite
+		acted := map[int]time.Duration{}
+		apply := func(w pendingWrite) bool {
+			if row.revision != w.expected {
+				return false
+			}
+			row = termRow{w.content, row.revision + 1}
+			return true
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "pass")) * time.Millisecond
+			host := rapid.IntRange(0, len(names)-1).Draw(t, "host")
+			term := terms[host]
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				term.Observe(now, row.content, row.revision)
+			case 2, 3:
+				action, content, expected := term.Next(now)
+				if action == lease.Stay {
+					continue
+				}
+				write := pendingWrite{host, content, expected}
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0: // the answer is lost
+					apply(write)
+					term.Written(content, 0, false)
+				case 1: // the write takes effect later
+					late = append(late, write)
+					term.Written(content, 0, false)
+				default:
+					committed := apply(write)
+					term.Written(content, row.revision, committed)
+				}
+			case 4:
+				if len(late) > 0 {
+					apply(late[0])
+					late = late[1:]
+				}
+			case 5:
+				if content, expected, held := term.Release(now); held {
+					committed := apply(pendingWrite{host, content, expected})
+					term.Written(content, row.revision, committed)
+				}
+			}
+			for i := range terms {
+				if !terms[i].Acts(now) {
+					continue
+				}
+				for other, at := range acted {
+					if other != i && now-at < termSettings.Gap {
+						t.Fatalf("%s acts %v after %s", names[i], now-at, names[other])
+					}
+				}
+				acted[i] = now
+			}
+		}
+	})
+}
+
+// TestTermTakeover guards against a lease that nobody takes over, and against one that is taken from a holder that
+// renews it.
+func TestTermTakeover(t *testing.T) {
+	const read = 10 * time.Second
+	held := lease.Tenancy{Holder: "b", Number: 4, Renewal: 9}
+	for name, test := range map[string]struct {
+		play func(term *lease.Term)
+		at   time.Duration
+		want lease.Action
+	}{
+		"nothing read":       {func(*lease.Term) {}, read, lease.Stay},
+		"no holder":          {func(term *lease.Term) { term.Observe(read, lease.Tenancy{}, 0) }, read, lease.Acquire},
+		"held":               {func(term *lease.Term) { term.Observe(read, held, 7) }, read + 4*time.Second, lease.Stay},
+		"not read again":     {func(term *lease.Term) { term.Observe(read, held, 7) }, read + time.Hour, lease.Stay},
+		"unchanged for long": {func(term *lease.Term) { term.Observe(read, held, 7); term.Observe(read+6*time.Second, held, 7) }, read + 6*time.Second, lease.Acquire},
+		"renewed": {func(term *lease.Term) {
+			term.Observe(read, held, 7)
+			term.Observe(read+6*time.Second, lease.Tenancy{Holder: "b", Number: 4, Renewal: 10}, 8)
+		}, read + 6*time.Second, lease.Stay},
+		"released": {func(term *lease.Term) {
+			free := lease.Tenancy{Holder: "b", Number: 4, Renewal: 10, Released: true}
+			term.Observe(read, free, 8)
+			term.Observe(read+termSettings.Gap, free, 8)
+		}, read + termSettings.Gap, lease.Acquire},
+	} {
+		t.Run(name, func(t *testing.T) {
+			term := lease.NewTerm(termSettings, "a")
+			test.play(term)
+			action, row, _ := term.Next(test.at)
+			qt.Check(t, action, qt.Equals, test.want)
+			if test.want == lease.Acquire {
+				qt.Check(t, row.Holder, qt.Equals, "a")
+			}
+		})
+	}
+}
+
+// TestTermLostRenewal guards against a holder that stops acting though its renewal took effect and only the answer was
+// lost.
+func TestTermLostRenewal(t *testing.T) {
+	term := lease.NewTerm(termSettings, "a")
+	term.Observe(0, lease.Tenancy{}, 0)
+	_, row, _ := term.Next(0)
+	term.Written(row, 1, true)
+	_, renewed, _ := term.Next(time.Second)
+	term.Written(renewed, 0, false)
+	term.Observe(1500*time.Millisecond, renewed, 2)
+	qt.Check(t, term.Acts(2500*time.Millisecond), qt.IsTrue)
+	qt.Check(t, term.Acts(time.Second+termSettings.Guard), qt.IsFalse)
+}
