--- a/dev/standin.go
+++ b/dev/standin.go
@@ -17,7 +17,7 @@
 	"magnoliahoist/fakeservice"
 	"magnoliahoist/faketable"
 	"magnoliahoist/fakeweights"
-	"magnoliahoist/platform/standin"
+	"magnoliahoist/platform/fakeplatform"
 )
 
 // Standin is a stand-in that answers on a listener.
@@ -109,16 +109,16 @@
 }
 
 // NewPlatformStandin returns a stand-in for the platform whose endpoints register themselves, by its kind: store or
-// endpoint. The options of an endpoint are standin.Settings as JSON.
+// endpoint. The options of an endpoint are fakeplatform.Settings as JSON.
 func NewPlatformStandin(kind string, options []byte) (Standin, error) {
 	if kind == "store" {
-		return standin.NewStore(), nil
+		return fakeplatform.NewStore(), nil
 	}
-	var settings standin.Settings
+	var settings fakeplatform.Settings
 	if err := document.Decode(options, &settings); err != nil {
 		return nil, err
 	}
-	return standin.NewEndpoint(settings), nil
+	return fakeplatform.NewEndpoint(settings), nil
 }
 
 func newStandin(kind string, options []byte) (Standin, error) {
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -94,6 +94,7 @@
 func TestAllowanceBeforeMembership(t *testing.T) {
 	b := limited(t)
 	b.apply(dispatch.Joined{})
+	qt.Check(t, b.state.Ready(), qt.IsFalse, qt.Commentf("it would refuse requests within their rate"))
 	_, effects := b.arrive("/stamp/1", intake.Call{})
 	refuse, refused := refusalOf(effects)
 	qt.Assert(t, refused, qt.IsTrue)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -115,9 +115,10 @@
 	return waiting
 }
 
-// Ready reports whether the host can serve: it knows a configuration, and an endpoint if there is any pool.
+// Ready reports whether the host can serve: it knows a configuration, its part of the allowances, and an endpoint if
+// there is any pool.
 func (s *State) Ready() bool {
-	if s.catalog == nil {
+	if s.catalog == nil || s.catalog.Keyed() && s.fraction <= 0 {
 		return false
 	}
 	for _, p := range s.pools {
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -79,7 +79,7 @@
 // repeat queues a request for another attempt if its route, its time and the budget allow one.
 func (s *State) repeat(now time.Duration, r *request, reason Reason, retry time.Duration) {
 	allowed := len(r.tries) < r.route.Attempts && (!r.ran || r.route.Repeatable())
-	if !allowed || r.deadline-now < leastLeft || !r.pool.budget.allow(now, s.settings) {
+	if !allowed || r.deadline-now < leastLeft || !r.pool.budget.allow(now, s.settings, s.fraction) {
 		s.refuse(now, r, reason, retry)
 		return
 	}
@@ -109,10 +109,10 @@
 	b.started++
 }
 
-// allow counts another repeat if the budget has room for it.
-func (b *budget) allow(now time.Duration, settings Settings) bool {
+// allow counts another repeat if the host's fraction of the fleet's budget has room for it.
+func (b *budget) allow(now time.Duration, settings Settings, fraction float64) bool {
 	b.decay(now, settings.RetryWindow)
-	if b.repeats+1 > settings.RetryShare*b.started+settings.RetryFloor {
+	if b.repeats+1 > settings.RetryShare*b.started+settings.RetryFloor*fraction {
 		return false
 	}
 	b.repeats++
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,6 +87,7 @@
 			Host:        settings.Name,
 			Domain:      settings.Domain,
 			RetryShare:  settings.Retries.Share * retryMargin,
+			RetryFloor:  settings.Retries.Floor * retryMargin,
 			RetryWindow: settings.Retries.Window.Std(),
 		}),
 	}
