--- a/entry/access.go
+++ b/entry/access.go
@@ -20,8 +20,9 @@
 	probePeriod = 700 * time.Millisecond
 	// commitTimeout bounds a write, so that a holder can renew its lease through another host in time.
 	commitTimeout = 600 * time.Millisecond
-	// relayWait bounds the wait of a call for changes that goes through another host.
-	relayWait = 5 * time.Second
+	// relayWait bounds the wait of a call for changes that goes through another host. The store may turn that host
+	// away meanwhile, or serve this one again.
+	relayWait = 700 * time.Millisecond
 	// relayPeers is how many hosts are asked in one round.
 	relayPeers = 7
 )
@@ -78,7 +79,7 @@
 		return
 	}
 	if !a.away {
-		a.away, a.probed = true, a.now()
+		a.away, a.probed = true, a.now()-probePeriod // a connection may have been reset only: the next call is direct
 	}
 }
 
