residency: keep the only replica that serves

A replica that was being loaded, or unloaded, counted like one that serves, so the last one that served was taken for another model.

Ruled out: hosts that don't see a registration; the planner's own orders (test play) unload the last replica.

Change: a victim needs two replicas that serve.

--- a/residency/place.go
+++ b/residency/place.go
@@ -7,8 +7,9 @@
 
 // replica counts the engines that hold or load a model.
 type replica struct {
-	count  int
-	demand float64 // prompt tokens a second
+	count   int
+	serving int     // of them, those that hold it
+	demand  float64 // prompt tokens a second
 }
 
 // load returns the part of an engine that each replica needs.
@@ -116,9 +117,10 @@
 	for name := range p.spec.Engine.Models {
 		all[name] = replica{demand: p.demand[name]}
 	}
-	add := func(name string) {
+	add := func(name string, serving int) {
 		r := all[name]
 		r.count++
+		r.serving += serving
 		all[name] = r
 	}
 	for _, id := range p.names {
@@ -127,15 +129,15 @@
 			continue
 		}
 		for name := range e.models {
-			if name != e.retiring {
-				add(name)
+			if name != e.retiring && name != e.leaving {
+				add(name, 1)
 			}
 		}
 		switch {
 		case e.target != "" && e.models[e.target] == nil:
-			add(e.target)
+			add(e.target, 0)
 		case e.loading != "" && e.models[e.loading] == nil:
-			add(e.loading)
+			add(e.loading, 0)
 		}
 	}
 	return all
@@ -244,7 +246,7 @@
 	for name := range e.models {
 		r := replicas[name]
 		spec := p.spec.Engine.Models[name]
-		if r.count < 2 || room+spec.Weights < need {
+		if r.serving < 2 || room+spec.Weights < need {
 			continue
 		}
 		loss := r.load(r.count - 1)
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -138,6 +138,22 @@
 	}
 }
 
+// TestLastServingReplica guards against unloading the only replica that serves a model while another is still being
+// loaded.
+func TestLastServingReplica(t *testing.T) {
+	p := newPlay(newSim("e1", "m1", "m2", "m3"), newSim("e2", "m1", "m4", "m2"), newSim("e3", "m1", "m5", "m6"))
+	p.run(3*time.Second, map[string]float64{"m1": 5_000})
+	for turn := range 12 {
+		model := fmt.Sprint("m", 2+turn%5)
+		for range 20 {
+			p.run(100*time.Millisecond, map[string]float64{model: 40_000})
+			for _, m := range []string{"m1", "m2", "m3", "m4", "m5", "m6"} {
+				qt.Assert(t, p.holders(m) >= 1, qt.IsTrue, qt.Commentf("%s at %v", m, p.now))
+			}
+		}
+	}
+}
+
 // TestEveryModelReachable guards against a model that nobody holds after its only engine is gone.
 func TestEveryModelReachable(t *testing.T) {
 	p := newPlay(newSim("e1", "m1", "m2"), newSim("e2", "m3", "m4"), newSim("e3", "m5", "m6"))
