--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -40,7 +40,7 @@
 // attempt sends a request to one endpoint and hands its answer to the caller. It reports whether the request has
 // been answered.
 func (h *Host) attempt(parent context.Context, t *task, send dispatch.Send) bool {
-	t.last = send
+	t.last, t.sent = send, h.Now()
 	finished := dispatch.Finished{Number: t.number}
 	left := send.Until - h.Now()
 	if left <= 0 {
@@ -149,6 +149,7 @@
 		if whole := events.add(buffer[:n]); len(whole) > 0 {
 			if !reported {
 				reported = true
+				t.first = h.Now() - t.sent
 				h.Apply(dispatch.First{Number: t.number})
 			}
 			t.begin(answer)
@@ -190,7 +191,8 @@
 	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true})
 	t.begin(answer)
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
-		"attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume)
+		"attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume, "estimate", t.last.Wait.String(), "first", t.first.String(),
+		"urgency", t.last.Urgency, "waited", (t.sent - t.arrived).String())
 	return true
 }
 
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -42,6 +42,8 @@
 	held    *wholeAnswer // failure of an endpoint, handed over when no other attempt follows
 	arrived time.Duration
 	last    dispatch.Send
+	sent    time.Duration // start of the last attempt
+	first   time.Duration // from it to the first event
 }
 
 // ServeHTTP answers a caller.
