residency: weigh an engine's other work, spare only models that others serve

Change: a move's price includes the engine's other work; a victim's loss counts replicas that serve.

--- a/residency/place.go
+++ b/residency/place.go
@@ -214,29 +214,25 @@
 	return p.load(best.engine)
 }
 
-// price returns what a move costs, in parts of an engine: the victim's loss and the time until the model serves.
+// price returns what a move costs, in parts of an engine: the victim's loss, the other work of the engine and the time
+// until the model serves.
 func (m move) price() float64 {
-	price := m.loss + m.time.Seconds()*timePrice
+	price := m.loss + m.load*loadPrice + m.time.Seconds()*timePrice
 	if m.victim != "" {
 		price += retireTime.Seconds() * timePrice
 	}
 	return price
 }
 
-// better prefers the lower price, then the engine with less to do.
-func (m move) better(other move) bool {
-	if a, b := m.price(), other.price(); a != b {
-		return a < b
-	}
-	return m.load < other.load
-}
+// better prefers the lower price.
+func (m move) better(other move) bool { return m.price() < other.price() }
 
 // moveTo returns how an engine can take a model.
 func (p *Planner) moveTo(e *engine, model string, replicas map[string]replica) (move, bool) {
 	m := move{engine: e, time: p.loadTime(e, model)}
 	room := p.room(e)
 	for name := range e.models {
-		m.load += replicas[name].load(replicas[name].count)
+		m.load += replicas[name].load(replicas[name].serving)
 	}
 	need := p.spec.Engine.Models[model].Weights
 	if room >= need {
@@ -249,11 +245,14 @@
 		if r.serving < 2 || room+spec.Weights < need {
 			continue
 		}
-		loss := r.load(r.count - 1)
+		loss := r.load(r.serving - 1)
 		if !found || loss < m.loss || loss == m.loss && name < m.victim {
 			m.victim, m.loss, found = name, loss, true
 		}
 	}
+	if found {
+		m.load -= replicas[m.victim].load(replicas[m.victim].serving)
+	}
 	return m, found
 }
 
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -21,7 +21,7 @@
 	// orderRetry is the wait after an order that was not accepted.
 	orderRetry = 300 * time.Millisecond
 	// reportRetry is the wait between two reports of one engine.
-	reportRetry = 400 * time.Millisecond
+	reportRetry = 250 * time.Millisecond
 	// loadBurst is how many loads may begin at once; the weight store allows a few above its rate.
 	loadBurst = 3.0
 	// orderTime and adapterRate estimate how long an adapter takes after its order was accepted; the rate is in
@@ -31,14 +31,16 @@
 	// registrationLag is how long after an order a registration may still show what was before it.
 	registrationLag = 2 * time.Second
 	// retireTime is how long before its unloading hosts are told not to use a model; they ask several times in it.
-	retireTime = 500 * time.Millisecond
+	retireTime = 300 * time.Millisecond
 	// timePrice is what a second without the replica costs, in parts of an engine.
 	timePrice = 0.2
+	// loadPrice is the weight of an engine's other work.
+	loadPrice = 0.7
 	// settleTime is how long a planner waits after a new engine appeared before it loads models that nobody holds,
 	// because engines that start together register one after the other.
 	settleTime = 2 * time.Second
 	// reportLag is how far a report may lag behind what the engine holds.
-	reportLag = 600 * time.Millisecond
+	reportLag = 500 * time.Millisecond
 	// patience is the longest time for which a model load or unload is believed to be under way.
 	patience = 30 * time.Second
 )
@@ -201,7 +203,7 @@
 	var list []directory.Endpoint
 	for _, id := range p.names {
 		e := p.engines[id]
-		stuck := (e.loading != "" || e.leaving != "") && now-e.since > time.Second
+		stuck := (e.loading != "" || e.leaving != "") && now-e.since > reportLag
 		if e.current != nil || e.Leaving || e.synced && !stuck || now-e.asked < reportRetry || now-e.since < reportLag {
 			continue
 		}
