entry: learn of registrations from the holder; answer a body that is too large before closing

TestPlatformPath lost a 413 once, because the connection was closed with bytes unread and reset.

Change: one host follows the table and tells the others with the load that they exchange; a host reads on for a moment after it refused a body.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,21 +94,6 @@
 	}
 }
 
-// Replace takes the whole registry.
-func (d *Directory) Replace(now time.Duration, all []Endpoint) {
-	present := make(map[string]bool, len(all))
-	for _, e := range all {
-		present[e.ID] = true
-		d.endpoints[e.ID] = e.seen(now)
-		delete(d.lapsed, e.ID)
-	}
-	for id := range d.endpoints {
-		if !present[id] {
-			d.remove(now, id)
-		}
-	}
-}
-
 // remove drops an endpoint, or marks it as lapsed when its registration may have ended with the registry's absence.
 func (d *Directory) remove(now time.Duration, id string) {
 	if _, known := d.endpoints[id]; !known {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -36,27 +36,27 @@
 			func(d *directory.Directory) { d.Apply(back, []directory.Change{gone("a")}) }, back, []string{"b"},
 		},
 		"missing after a read of everything": {
-			func(d *directory.Directory) { d.Replace(back, []directory.Endpoint{{ID: "b"}}) }, back, []string{"b"},
+			func(d *directory.Directory) { d.Apply(back, []directory.Change{gone("a"), put("b")}) }, back, []string{"b"},
 		},
 		"lapsed while the registry was away": {
 			func(d *directory.Directory) {
 				d.Lose(10 * time.Second)
 				d.Regain(back)
-				d.Replace(back, nil)
+				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 			}, back + time.Second, []string{"a", "b"},
 		},
 		"still missing two seconds after": {
 			func(d *directory.Directory) {
 				d.Lose(10 * time.Second)
 				d.Regain(back)
-				d.Replace(back, nil)
+				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 			}, back + 2*time.Second, []string{},
 		},
 		"back within two seconds": {
 			func(d *directory.Directory) {
 				d.Lose(10 * time.Second)
 				d.Regain(back)
-				d.Replace(back, nil)
+				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 				d.Apply(back+time.Second, []directory.Change{put("a")})
 			}, back + 2*time.Second, []string{"a"},
 		},
@@ -67,7 +67,7 @@
 				d.Apply(9*time.Second, []directory.Change{leaving})
 				d.Lose(10 * time.Second)
 				d.Regain(back)
-				d.Replace(back, nil)
+				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 			}, back, []string{"b"},
 		},
 		"lapsed a second time": {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -19,6 +19,9 @@
 	defaultBody = 4 << 20
 	// bodyTimeout bounds the reading of a body whose caller states no time.
 	bodyTimeout = 10 * time.Second
+	// refusedReading and refusedBytes bound what is read of a body after it was refused.
+	refusedReading = 500 * time.Millisecond
+	refusedBytes   = 256 << 10
 	// writeSlack is how long after a request's time an answer may still be written to a slow caller.
 	writeSlack = 200 * time.Millisecond
 )
@@ -60,8 +63,7 @@
 	if err := h.readBody(w, r, request); err != nil {
 		h.log.Info("entry: unable to read a body", "request", request.ID, "error", err)
 		if errors.Is(err, errTooLarge) {
-			w.Header().Set("Connection", "close")
-			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			h.refuseBody(w, r)
 			return
 		}
 		panic(http.ErrAbortHandler)
@@ -70,6 +72,20 @@
 	h.serve(r.Context(), t)
 }
 
+// refuseBody answers a request whose body is too large at once. It then reads on for a moment: a connection that is
+// closed with bytes unread is reset, and the caller may lose the answer.
+func (h *Host) refuseBody(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, string(errTooLarge), http.StatusRequestEntityTooLarge)
+	control := http.NewResponseController(w)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(refusedReading)) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, r.Body, refusedBytes); err != nil && err != io.EOF {
+		h.log.Debug("entry: unable to read the rest of a refused body", "error", err)
+	}
+}
+
 // readBody reads the whole body. Errors are errTooLarge and those of the connection.
 func (h *Host) readBody(w http.ResponseWriter, r *http.Request, request *intake.Request) error {
 	most := int64(defaultBody)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,7 @@
 	mu        sync.Mutex
 	state     *dispatch.State
 	directory *directory.Directory
+	registry  registry
 	waiting   map[uint64]chan dispatch.Effect
 
 	fleet     fleet
@@ -74,6 +75,7 @@
 		start:     sinceBoot(),
 		log:       log.Named("entry"),
 		directory: directory.New(),
+		registry:  newRegistry(),
 		waiting:   map[uint64]chan dispatch.Effect{},
 		holdings:  map[string]*holding{},
 		orderable: map[string]bool{},
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -78,14 +78,14 @@
 	return h.follow(follower{
 		name: fleetTable,
 		wait: feedWait,
-		replace: func(rows []table.Row) {
+		replace: func(rows []table.Row, _ int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			clear(h.fleet.members)
 			h.fleet.read = true
 			h.learn(rows)
 		},
-		change: func(rows []table.Row) {
+		change: func(rows []table.Row, _ int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.learn(rows)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
 	"magnoliahoist/platform"
 	"magnoliahoist/table"
@@ -21,21 +20,23 @@
 	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
 	feedPause      = 100 * time.Millisecond
 	feedPauseLimit = 800 * time.Millisecond
+	// pausedPoll is how often a paused follower looks whether it must go on.
+	pausedPoll = 200 * time.Millisecond
 )
 
-// endpointRest is how long changes of registrations gather; a leaving endpoint must get no work after two seconds.
-const endpointRest = 500 * time.Millisecond
-
 // follower keeps a copy of one table of the store.
 type follower struct {
 	name string
 	// replace takes all rows, change those that were changed.
-	replace func(rows []table.Row)
-	change  func(rows []table.Row)
+	replace func(rows []table.Row, revision int64)
+	change  func(rows []table.Row, revision int64)
 	// wait is how long a call for changes may wait at the store.
 	wait time.Duration
-	// rest is the wait after a change, in which others gather; every call is paid for.
-	rest time.Duration
+	// rest returns the wait after a change, in which others gather; it may be nil.
+	rest func() time.Duration
+	// paused reports whether another source tells of changes, and revision up to where; they may be nil.
+	paused   func() bool
+	revision func() int64
 	// lost and regained tell of the store's absence; they may be nil.
 	lost, regained func()
 }
@@ -46,6 +47,16 @@
 	revision, away, pause := int64(0), false, feedPause
 	whole := true
 	for {
+		if f.paused != nil && !whole && f.paused() {
+			h.sleep(pausedPoll)
+			select {
+			case <-h.tomb.Dying():
+				return nil
+			default:
+			}
+			revision = f.revision()
+			continue
+		}
 		snapshot, err := h.changes(ctx, f, revision, whole)
 		select {
 		case <-h.tomb.Dying():
@@ -79,13 +90,15 @@
 		}
 		revision = snapshot.Revision
 		if whole {
-			f.replace(snapshot.Rows)
+			f.replace(snapshot.Rows, snapshot.Revision)
 			whole = false
 			continue
 		}
 		if len(snapshot.Rows) > 0 {
-			f.change(snapshot.Rows)
-			h.sleep(f.rest)
+			f.change(snapshot.Rows, snapshot.Revision)
+			if f.rest != nil {
+				h.sleep(f.rest())
+			}
 		}
 	}
 }
@@ -119,7 +132,7 @@
 }
 
 // configure puts the newest configuration among the rows in force.
-func (h *Host) configure(rows []table.Row) {
+func (h *Host) configure(rows []table.Row, _ int64) {
 	for _, row := range rows {
 		c, is, err := platform.DecodeConfiguration(row)
 		if !is {
@@ -141,58 +154,7 @@
 	}
 }
 
-// followEndpoints follows the registrations of endpoints.
-func (h *Host) followEndpoints() error {
-	return h.follow(follower{
-		name: platform.EndpointTable,
-		wait: feedWait,
-		rest: endpointRest,
-		replace: func(rows []table.Row) {
-			var all []directory.Endpoint
-			for _, c := range h.registrations(rows) {
-				if !c.Removed {
-					all = append(all, c.Endpoint)
-				}
-			}
-			h.register(func(d *directory.Directory) { d.Replace(h.Now(), all) })
-		},
-		change: func(rows []table.Row) {
-			changes := h.registrations(rows)
-			h.register(func(d *directory.Directory) { d.Apply(h.Now(), changes) })
-		},
-		lost:     func() { h.register(func(d *directory.Directory) { d.Lose(h.Now()) }) },
-		regained: func() { h.register(func(d *directory.Directory) { d.Regain(h.Now()) }) },
-	})
-}
-
-// registrations decodes rows. A row that can't be read names no endpoint to use.
-func (h *Host) registrations(rows []table.Row) []directory.Change {
-	changes := make([]directory.Change, 0, len(rows))
-	for _, row := range rows {
-		c, err := platform.DecodeRegistration(row)
-		if err != nil {
-			h.log.Warn("entry: unable to use a registration", "row", row.Key, "revision", row.Revision, "error", err)
-			continue
-		}
-		changes = append(changes, c)
-	}
-	return changes
-}
-
-// register changes the directory and tells the reducer of it.
-func (h *Host) register(change func(d *directory.Directory)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	change(h.directory)
+// tellEndpoints tells the reducer of the endpoints. The caller holds the lock.
+func (h *Host) tellEndpoints() {
 	h.apply(dispatch.Registered{Endpoints: h.directory.Endpoints()})
 }
-
-// sweep gives up registrations that lapsed and closes idle connections whose time is over.
-func (h *Host) sweep(context.Context) {
-	h.mu.Lock()
-	if h.directory.Sweep(h.Now()) {
-		h.apply(dispatch.Registered{Endpoints: h.directory.Endpoints()})
-	}
-	h.mu.Unlock()
-	h.connections.Sweep()
-}
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -359,6 +359,7 @@
 		request := &peer.SummaryRequest{Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool}
 		request.Demands = demandsOf(h.state.Demand(pool))
 		request.Loads = loadsOf(h.state.Loads(h.Now(), pool))
+		request.After = h.registry.revision
 		h.mu.Unlock()
 		holder := h.holderOf(pool)
 		h.noteHolder(pool)
@@ -373,12 +374,13 @@
 			continue
 		}
 		h.run(func(ctx context.Context) {
-			answer, err := client.Report(ctx, to, h.sender(), pool, request.Demands, request.Loads)
+			answer, err := client.Report(ctx, to, h.sender(), request)
 			h.answered(pool, err == nil)
 			if err != nil {
 				h.log.Debug("entry: unable to exchange load", "pool", pool, "holder", holder, "error", err)
 				return
 			}
+			h.takeRegistrations(request.GetAfter(), answer)
 			h.Apply(dispatch.Observed{Pool: pool, Loads: loadsFrom(answer.GetLoads())})
 		})
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -87,7 +87,7 @@
 	h.tomb.Go(h.hold)
 	h.tomb.Go(func() error { return h.every(planPeriod, h.lookAtLeases) })
 	h.tomb.Go(func() error { return h.every(summaryPeriod, h.summarize) })
-	h.tomb.Go(func() error { return h.every(sweepPeriod, h.sweep) })
+	h.tomb.Go(func() error { return h.every(sweepPeriod, h.tidy) })
 	h.log.Info("entry: started", "name", h.settings.Name, "domain", h.settings.Domain, "callers", h.settings.Callers, "store", h.settings.Store)
 	return nil
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -38,7 +38,9 @@
 	if !held {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
 	}
-	return &peer.SummaryResponse{Loads: loads}, nil
+	answer := &peer.SummaryResponse{Loads: loads}
+	s.host.addRegistrations(answer, r.GetAfter())
+	return answer, nil
 }
 
 // Fetch loads an adapter on an endpoint.
--- a/peer/client.go
+++ b/peer/client.go
@@ -112,9 +112,10 @@
 	return call(ctx, c, to, readTimeout, Peer.Summary, request)
 }
 
-// Report tells the lease holder the demand and the load of this host and returns the load of the others.
-func (c *Client) Report(ctx context.Context, to Target, from Sender, pool string, demands []*Demand, loads []*EndpointLoad) (*SummaryResponse, error) {
-	request := &SummaryRequest{Header: header(to, from), Pool: pool, Demands: demands, Loads: loads}
+// Report tells the lease holder the demand and the load of this host and returns the load of the others. The header of
+// the request is filled in.
+func (c *Client) Report(ctx context.Context, to Target, from Sender, request *SummaryRequest) (*SummaryResponse, error) {
+	request.Header = header(to, from)
 	return call(ctx, c, to, borrowTimeout, Peer.Summary, request)
 }
 
