dispatch: divide allowances among two to five hosts; grant requests that are larger than a bucket

With 36 hosts a part of a small account was below one request, and a request above the whole burst could never be served.

Ruled out: equal parts with more lenders asked (up to 35 calls a request).

Change: holders by rendezvous over the hosts' names, as many as the burst is worth; loans ahead of use; lenders that do not answer rest for a second; a request above a full bucket is a debt, paid before anything else is granted.

--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -6,20 +6,46 @@
 	"strconv"
 	"time"
 
+	"magnoliahoist/catalog"
 	"magnoliahoist/limit"
 )
 
 const (
-	// loanTime is the part of a second's allowance that is borrowed at least, so that a loan serves several requests.
-	loanTime = 0.1
+	// holderBurst is the part of a burst in units, several large requests, that is worth a holder of its own.
+	holderBurst = 12_000
+	// leastHolders of an allowance let an account be served while one of them is away; mostHolders bound the hosts
+	// that are asked for a loan.
+	leastHolders = 2
+	mostHolders  = 5
+	// maxDebt bounds what is granted beyond a full bucket, in units: one large request.
+	maxDebt = 8_000
+	// loanTime is for how much of this host's use of an account tokens are borrowed ahead.
+	loanTime = 0.4
+	// useLife is the time over which the use of an account is averaged.
+	useLife = 2 * time.Second
 	// dryTime is how long an account is refused at once after no host could lend it anything.
 	dryTime = 100 * time.Millisecond
+	// lenderRest is how long a lender that did not answer is not asked.
+	lenderRest = time.Second
 )
 
+// account is what the host keeps of one client account.
+type account struct {
+	spec     catalog.Account
+	ledger   *limit.Ledger
+	fraction float64  // of the allowance that this host holds
+	lenders  []Member // other holders
+	silent   map[string]time.Duration
+	debt     int64 // units that were granted beyond a full bucket
+	use      float64
+	used     time.Duration // of use
+	borrow   borrowing
+}
+
 // borrowing is the state of an account's search for tokens.
 type borrowing struct {
 	active bool
-	next   int // position among the other hosts
+	next   int // position among the lenders
 	asked  int
 	dry    time.Duration // end of the time in which no host is asked
 }
@@ -33,13 +59,16 @@
 	return names
 }
 
-// joined takes the other hosts and this host's fraction of every allowance.
+// joined takes the list of hosts.
 func (s *State) joined(now time.Duration, e Joined) {
-	s.others, s.fraction = e.Others, e.Fraction
+	s.members, s.fraction = e.Members, 0
+	if slices.ContainsFunc(e.Members, func(m Member) bool { return m.Name == s.settings.Host }) {
+		s.fraction = 1 / float64(len(e.Members))
+	}
 	s.shareOut(now)
 }
 
-// shareOut sets this host's part of each account's allowance.
+// shareOut sets this host's part of each account's allowance. A part that is new here starts empty.
 func (s *State) shareOut(now time.Duration) {
 	if s.catalog == nil {
 		return
@@ -48,14 +77,76 @@
 		spec, _ := s.catalog.AccountByName(name)
 		a := s.accounts[name]
 		if a == nil {
-			a = &account{ledger: limit.NewLedger(now)}
+			a = &account{ledger: limit.NewLedger(now), silent: map[string]time.Duration{}}
 			s.accounts[name] = a
 		}
 		a.spec = spec
-		a.ledger.SetShare(now, spec.Rate*s.fraction, int64(spec.Burst*s.fraction))
+		holders := holdersOf(spec, s.members)
+		a.fraction, a.lenders = 0, nil
+		for _, m := range holders {
+			if m.Name == s.settings.Host {
+				a.fraction = 1 / float64(len(holders))
+				continue
+			}
+			a.lenders = append(a.lenders, m)
+		}
+		a.ledger.SetShare(now, spec.Rate*a.fraction, int64(spec.Burst*a.fraction))
+	}
+}
+
+// holdersOf returns the hosts among which an allowance is divided, by rendezvous hashing over their names: a host that
+// starts again under its name holds the same parts, and all hosts agree without a message.
+func holdersOf(spec catalog.Account, members []Member) []Member {
+	count := min(max(int(spec.Burst/holderBurst), leastHolders), mostHolders, len(members))
+	ranked := slices.Clone(members)
+	key := hashText(spec.Name)
+	weight := func(m Member) uint64 { return mix(key ^ hashText(m.Name)) }
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.Name, b.Name)) })
+	return ranked[:count]
+}
+
+// cap returns the units that a full bucket of this host holds.
+func (a *account) cap() int64 { return int64(a.spec.Burst * a.fraction) }
+
+// settle pays debts with what the bucket has earned.
+func (a *account) settle(now time.Duration) {
+	if a.debt == 0 {
+		return
+	}
+	pay := a.debt - a.ledger.Missing(now, a.debt)
+	if _, paid := a.ledger.Take(now, pay); paid {
+		a.debt -= pay
 	}
 }
 
+// grant takes units from the account. A request that is larger than a full bucket would never be served: it is granted
+// when the bucket is full, and the rest is a debt that is paid before anything else is granted.
+func (a *account) grant(now time.Duration, cost int64) (limit.Receipt, bool) {
+	a.settle(now)
+	if a.debt > 0 {
+		return limit.Receipt{}, false
+	}
+	if receipt, taken := a.ledger.Take(now, cost); taken {
+		return receipt, true
+	}
+	full := a.cap()
+	if full == 0 || cost <= full {
+		return limit.Receipt{}, false
+	}
+	receipt, taken := a.ledger.Take(now, full)
+	if taken {
+		a.debt = cost - full
+	}
+	return receipt, taken
+}
+
+// note counts the use of the account by this host's callers.
+func (a *account) note(now time.Duration, cost int64) {
+	left := max(1-(now-a.used).Seconds()/useLife.Seconds(), 0)
+	a.use = a.use*left + float64(cost)/useLife.Seconds()
+	a.used = now
+}
+
 // take takes the tokens of a request and reports whether it may go on. A request that must wait for a loan, or
 // that was refused, is taken care of.
 func (s *State) take(now time.Duration, r *request) bool {
@@ -63,13 +154,14 @@
 	if r.account == "" || a == nil || a.spec.Rate <= 0 {
 		return true
 	}
-	receipt, taken := a.ledger.Take(now, r.cost)
+	a.note(now, r.cost)
+	receipt, taken := a.grant(now, r.cost)
 	s.repay(r.account, a.ledger.Spent())
 	if taken {
 		r.receipt = receipt
 		return true
 	}
-	if now < a.borrow.dry || len(s.others) == 0 {
+	if now < a.borrow.dry || len(a.lenders) == 0 {
 		s.refuse(now, r, RateLimited, s.earnTime(now, a, r.cost))
 		return false
 	}
@@ -81,29 +173,53 @@
 	return false
 }
 
-// earnTime returns how long the host's own part needs to earn what a request lacks.
+// earnTime returns how long the account needs to earn what a request lacks.
 func (s *State) earnTime(now time.Duration, a *account, cost int64) time.Duration {
-	rate := a.spec.Rate * max(s.fraction, 0.01)
-	return time.Duration(float64(a.ledger.Missing(now, cost)) / rate * float64(time.Second))
+	return time.Duration(float64(a.ledger.Missing(now, cost)) / a.spec.Rate * float64(time.Second))
 }
 
-// ask asks the next host for what the waiting requests of an account lack.
-func (s *State) ask(now time.Duration, name string, a *account) {
-	need := int64(0)
-	for _, r := range s.requests {
-		if r.phase == borrowingTokens && r.account == name {
+// ask asks the next lender that answers for what the waiting requests of an account lack. It reports false when there
+// is none.
+func (s *State) ask(now time.Duration, name string, a *account) bool {
+	for ; a.borrow.asked < len(a.lenders); a.borrow.asked++ {
+		lender := a.lenders[a.borrow.next%len(a.lenders)]
+		if now < a.silent[lender.ID] {
+			a.borrow.next++
+			continue
+		}
+		need, largest := int64(0), int64(0)
+		for _, r := range s.borrowers(name) {
 			need += r.cost
+			largest = max(largest, r.cost)
 		}
+		s.loans++
+		s.emit(Borrow{
+			Account: name,
+			Loan:    s.settings.Host + "-" + strconv.FormatUint(s.loans, 10),
+			Lender:  lender,
+			Tokens:  a.ledger.Missing(now, need) + int64(loanTime*a.use),
+			Least:   a.ledger.Missing(now, largest),
+			Asked:   now,
+		})
+		a.borrow.asked++
+		return true
 	}
-	lender := s.others[a.borrow.next%len(s.others)]
-	s.loans++
-	s.emit(Borrow{
-		Account: name,
-		Loan:    s.settings.Host + "-" + strconv.FormatUint(s.loans, 10),
-		Lender:  lender,
-		Tokens:  a.ledger.Missing(now, need) + int64(loanTime*a.spec.Rate*s.fraction),
-		Asked:   now,
-	})
+	s.giveUp(now, name, a)
+	return false
+}
+
+// giveUp refuses the requests for which no host had tokens, and gives back what was borrowed for them.
+func (s *State) giveUp(now time.Duration, name string, a *account) {
+	a.borrow.active = false
+	rest := s.borrowers(name)
+	if len(rest) == 0 {
+		return
+	}
+	a.borrow.dry = now + dryTime
+	for _, r := range rest {
+		s.refuse(now, r, RateLimited, s.earnTime(now, a, r.cost))
+	}
+	s.repay(name, a.ledger.Release(now))
 }
 
 // lent takes a loan and lets the requests that waited for it go on.
@@ -114,13 +230,14 @@
 	}
 	if e.Tokens > 0 {
 		a.ledger.Borrow(now, limit.Loan{ID: e.Loan, Lender: e.Lender, Tokens: e.Tokens, Asked: e.Asked})
-	}
-	a.borrow.asked++
-	if e.Tokens == 0 {
+	} else {
 		a.borrow.next++
 	}
+	if !e.Answered {
+		a.silent[e.Lender] = now + lenderRest
+	}
 	for _, r := range s.borrowers(e.Account) {
-		receipt, taken := a.ledger.Take(now, r.cost)
+		receipt, taken := a.grant(now, r.cost)
 		if !taken {
 			break
 		}
@@ -128,18 +245,12 @@
 		s.enqueue(now, r)
 	}
 	s.repay(e.Account, a.ledger.Spent())
-	rest := s.borrowers(e.Account)
-	if len(rest) > 0 && a.borrow.asked < len(s.others) {
-		s.ask(now, e.Account, a)
+	if len(s.borrowers(e.Account)) == 0 {
+		a.borrow.active = false
 		return
 	}
-	a.borrow.active = false
-	if len(rest) > 0 {
-		a.borrow.dry = now + dryTime
-	}
-	for _, r := range rest {
-		s.refuse(now, r, RateLimited, s.earnTime(now, a, r.cost))
-	}
+	a.borrow.next++
+	s.ask(now, e.Account, a)
 }
 
 // borrowers returns the requests of an account that wait for tokens, oldest first.
@@ -154,11 +265,20 @@
 	return list
 }
 
-// asks lends tokens to another host.
+// asks lends tokens to another host: what there is, and what a request that is larger than a full bucket lacks.
 func (s *State) asks(now time.Duration, e Asks) {
 	tokens := int64(0)
 	if a := s.accounts[e.Account]; a != nil {
-		tokens = a.ledger.Lend(now, e.Loan, e.Borrower, e.Tokens)
+		a.settle(now)
+		full := a.cap()
+		whole := a.debt == 0 && full > 0 && a.ledger.Missing(now, full) == 0
+		if a.debt == 0 {
+			tokens = a.ledger.Lend(now, e.Loan, e.Borrower, e.Tokens)
+		}
+		if extra := min(e.Least-tokens, maxDebt); whole && tokens > 0 && extra > 0 {
+			a.debt += extra
+			tokens += extra
+		}
 	}
 	s.emit(Lend{Loan: e.Loan, Tokens: tokens})
 }
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -17,7 +17,7 @@
 	d := document(2)
 	d.Accounts[0].Rate, d.Accounts[0].Burst = 1000, 1000
 	b.apply(dispatch.Configured{Catalog: catalog.New(d)})
-	b.apply(dispatch.Joined{Fraction: 0.5, Others: []dispatch.Member{{ID: "peer", Address: "10.0.1.1:80"}}})
+	b.apply(dispatch.Joined{Members: []dispatch.Member{{Name: "self", ID: "1"}, {Name: "peer", ID: "peer", Address: "10.0.1.1:80"}}})
 	b.now += 10 * time.Second
 	return b
 }
@@ -46,7 +46,7 @@
 	borrow, is := effects[0].(dispatch.Borrow)
 	qt.Assert(t, is, qt.IsTrue)
 	qt.Check(t, borrow.Lender.ID, qt.Equals, "peer")
-	effects = b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Tokens: borrow.Tokens, Asked: borrow.Asked})
+	effects = b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Tokens: borrow.Tokens, Asked: borrow.Asked, Answered: true})
 	send, sent := sendOf(effects)
 	qt.Assert(t, sent, qt.IsTrue)
 	qt.Check(t, send.Number, qt.Equals, number)
@@ -60,7 +60,7 @@
 	}
 	_, effects := b.arrive("/stamp/1", intake.Call{})
 	borrow := effects[0].(dispatch.Borrow)
-	refuse, refused := refusalOf(b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Asked: borrow.Asked}))
+	refuse, refused := refusalOf(b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Asked: borrow.Asked, Answered: true}))
 	qt.Assert(t, refused, qt.IsTrue)
 	qt.Check(t, refuse.Reason, qt.Equals, dispatch.RateLimited)
 	qt.Check(t, refuse.Retry > 0, qt.IsTrue)
@@ -88,6 +88,12 @@
 	qt.Check(t, lend.Tokens, qt.Equals, int64(500))
 	effects = b.apply(dispatch.Asks{Account: "yards", Loan: "peer-2", Borrower: "peer", Tokens: 10_000})
 	qt.Check(t, effects[0].(dispatch.Lend).Tokens, qt.Equals, int64(0))
+	b.now += 10 * time.Second
+	effects = b.apply(dispatch.Asks{Account: "yards", Loan: "peer-3", Borrower: "peer", Tokens: 3_000, Least: 2_000})
+	qt.Check(t, effects[0].(dispatch.Lend).Tokens, qt.Equals, int64(2_000), qt.Commentf("a request that is larger than the bucket"))
+	b.now += 2 * time.Second
+	effects = b.apply(dispatch.Asks{Account: "yards", Loan: "peer-4", Borrower: "peer", Tokens: 100})
+	qt.Check(t, effects[0].(dispatch.Lend).Tokens, qt.Equals, int64(0), qt.Commentf("the debt is not paid yet"))
 }
 
 // TestAllowanceBeforeMembership guards against a host that spends before it knows its part.
@@ -100,3 +106,42 @@
 	qt.Assert(t, refused, qt.IsTrue)
 	qt.Check(t, refuse.Reason, qt.Equals, dispatch.RateLimited)
 }
+
+// TestAllowanceLargeRequest guards against requests that are larger than the bucket and would never be served, and
+// against serving more than the rate because of them.
+func TestAllowanceLargeRequest(t *testing.T) {
+	b := limited(t)
+	served := int64(0)
+	const cost, rate, burst = 3000, 500, 500 // of this host
+	from := b.now
+	for b.now < from+60*time.Second {
+		number, effects := b.arrive("/draft/1", intake.Generation{Model: "m", Prompt: cost - 100, Output: 100})
+		for _, e := range effects {
+			if borrow, is := e.(dispatch.Borrow); is {
+				effects = b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Asked: borrow.Asked, Answered: true})
+			}
+		}
+		if _, sent := sendOf(effects); sent {
+			served += cost
+			b.finish(number, dispatch.Done)
+		}
+		b.now += 100 * time.Millisecond
+	}
+	qt.Check(t, served > 0.8*60*rate, qt.IsTrue, qt.Commentf("%d", served))
+	qt.Check(t, served <= 60*rate+burst+cost, qt.IsTrue, qt.Commentf("%d", served))
+}
+
+// TestAllowanceSilentLender guards against waiting for a lender that does not answer at each request.
+func TestAllowanceSilentLender(t *testing.T) {
+	b := limited(t)
+	for range 2 {
+		b.arrive("/stamp/1", intake.Call{})
+	}
+	_, effects := b.arrive("/stamp/1", intake.Call{})
+	borrow := effects[0].(dispatch.Borrow)
+	b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Asked: borrow.Asked})
+	b.now += 110 * time.Millisecond // above the time in which nobody is asked
+	_, effects = b.arrive("/stamp/1", intake.Call{})
+	_, refused := refusalOf(effects)
+	qt.Check(t, refused, qt.IsTrue, qt.Commentf("%v", effects))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 
 	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
-	"magnoliahoist/limit"
 	"magnoliahoist/queue"
 )
 
@@ -27,8 +26,8 @@
 	pools    map[string]*pool
 	accounts map[string]*account
 	requests map[uint64]*request
-	others   []Member
-	fraction float64
+	members  []Member
+	fraction float64 // one part for each host; 0 while this host is not a member
 	loans    uint64
 	effects  []Effect
 }
@@ -45,13 +44,6 @@
 	demand    map[string]float64 // prompt tokens asked of each model since the last Demand
 }
 
-// account is what the host keeps of one client account.
-type account struct {
-	spec   catalog.Account
-	ledger *limit.Ledger
-	borrow borrowing
-}
-
 // New returns the state of a host that knows nothing yet.
 func New(settings Settings) *State {
 	return &State{
@@ -59,7 +51,6 @@
 		pools:    map[string]*pool{},
 		accounts: map[string]*account{},
 		requests: map[uint64]*request{},
-		fraction: 0,
 	}
 }
 
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -41,6 +41,7 @@
 	Loan    string
 	Lender  Member
 	Tokens  int64
+	Least   int64 // of the largest request that waits
 	Asked   time.Duration
 }
 
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -47,25 +47,24 @@
 // Registered is the list of endpoints.
 type Registered struct{ Endpoints []directory.Endpoint }
 
-// Member is another host.
+// Member is a host. A process that starts again under a host's name has another id.
 type Member struct {
+	Name    string
 	ID      string
 	Address string
 }
 
-// Joined is the list of other hosts and this host's fraction of every allowance.
-type Joined struct {
-	Others   []Member
-	Fraction float64
-}
+// Joined is the list of all hosts; a host that is not among them holds no part of an allowance.
+type Joined struct{ Members []Member }
 
 // Lent answers a Borrow effect; no tokens when the lender had none or did not answer.
 type Lent struct {
-	Account string
-	Loan    string
-	Lender  string
-	Tokens  int64
-	Asked   time.Duration
+	Account  string
+	Loan     string
+	Lender   string
+	Tokens   int64
+	Asked    time.Duration
+	Answered bool
 }
 
 // Asks is another host's wish to borrow tokens; the answer is a Lend effect.
@@ -74,6 +73,7 @@
 	Loan     string
 	Borrower string
 	Tokens   int64
+	Least    int64 // of the largest request that waits
 }
 
 // Repaid returns the unused part of a loan that this host made.
--- a/dispatch/main_test.go
+++ b/dispatch/main_test.go
@@ -57,7 +57,7 @@
 func newBench(t testing.TB) *bench {
 	b := &bench{t: t, state: dispatch.New(dispatch.Settings{Host: "self", Domain: "near", RetryShare: 0.2, RetryFloor: 5, RetryWindow: 10 * time.Second})}
 	b.now = time.Minute
-	b.apply(dispatch.Joined{Fraction: 1})
+	b.apply(dispatch.Joined{Members: []dispatch.Member{{Name: "self", ID: "1"}}})
 	b.apply(dispatch.Configured{Catalog: catalog.New(document(1))})
 	b.apply(dispatch.Registered{Endpoints: endpoints()})
 	b.apply(dispatch.Orderable{Pool: engines, Possible: true})
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -132,17 +132,16 @@
 	h.fleet.client = peer.NewClient(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdle, DisableCompression: true}}, secret)
 }
 
-// joined tells the reducer of the other hosts and of this host's fraction of the allowances.
+// joined tells the reducer of the hosts, once this one is among them. The caller holds the lock.
 func (h *Host) joined() {
 	if h.fleet.members[h.settings.Name] != h.fleet.self {
 		h.apply(dispatch.Joined{})
 		return
 	}
-	e := dispatch.Joined{Fraction: 1 / float64(len(h.fleet.members))}
+	var e dispatch.Joined
 	for _, name := range slices.Sorted(maps.Keys(h.fleet.members)) {
-		if m := h.fleet.members[name]; m.ID != h.fleet.self.ID {
-			e.Others = append(e.Others, dispatch.Member{ID: m.ID, Address: m.Address})
-		}
+		m := h.fleet.members[name]
+		e.Members = append(e.Members, dispatch.Member{Name: name, ID: m.ID, Address: m.Address})
 	}
 	h.apply(e)
 }
--- a/entry/loans.go
+++ b/entry/loans.go
@@ -11,11 +11,11 @@
 func (h *Host) borrow(ctx context.Context, e dispatch.Borrow) {
 	lent := dispatch.Lent{Account: e.Account, Loan: e.Loan, Lender: e.Lender.ID, Asked: e.Asked}
 	if client := h.peers(); client != nil {
-		answer, err := client.Borrow(ctx, peer.Target{ID: e.Lender.ID, Address: e.Lender.Address}, h.sender(), e.Account, e.Loan, e.Tokens)
+		answer, err := client.BorrowFor(ctx, peer.Target{ID: e.Lender.ID, Address: e.Lender.Address}, h.sender(), e.Account, e.Loan, e.Tokens, e.Least)
 		if err != nil {
 			h.log.Info("entry: unable to borrow", "account", e.Account, "lender", e.Lender.ID, "error", err)
 		} else {
-			lent.Tokens = answer.GetTokens()
+			lent.Tokens, lent.Answered = answer.GetTokens(), true
 		}
 	}
 	h.Apply(lent)
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"magnoliahoist/directory"
+	"magnoliahoist/dispatch"
 	"magnoliahoist/peer"
 	"magnoliahoist/platform"
 	"magnoliahoist/table"
@@ -171,6 +172,7 @@
 	if h.directory.Sweep(h.Now()) {
 		h.tellEndpoints()
 	}
+	h.apply(dispatch.Tick{}) // returns loans that have ended
 	h.mu.Unlock()
 	h.connections.Sweep()
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -15,7 +15,7 @@
 // Borrow lends tokens of an account.
 func (s *peerService) Borrow(_ context.Context, r *peer.BorrowRequest) (*peer.BorrowResponse, error) {
 	h := s.host
-	asks := dispatch.Asks{Account: r.GetAccount(), Loan: r.GetLoan(), Borrower: r.GetHeader().GetFrom(), Tokens: r.GetTokens()}
+	asks := dispatch.Asks{Account: r.GetAccount(), Loan: r.GetLoan(), Borrower: r.GetHeader().GetFrom(), Tokens: r.GetTokens(), Least: r.GetLeast()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, effect := range h.state.Apply(h.Now(), asks) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -94,10 +94,15 @@
 	return call(ctx, c, to, syncTimeout, Peer.Announce, &AnnounceRequest{Header: header(to, from), Revision: revision})
 }
 
+// BorrowFor asks for tokens of the account, of which a request that waits needs the least.
+func (c *Client) BorrowFor(ctx context.Context, to Target, from Sender, account, loan string, tokens, least int64) (*BorrowResponse, error) {
+	request := &BorrowRequest{Header: header(to, from), Account: account, Loan: loan, Tokens: tokens, Least: least}
+	return call(ctx, c, to, borrowTimeout, Peer.Borrow, request)
+}
+
 // Borrow asks for tokens of the account; an unanswered loan counts as made.
 func (c *Client) Borrow(ctx context.Context, to Target, from Sender, account, loan string, tokens int64) (*BorrowResponse, error) {
-	request := &BorrowRequest{Header: header(to, from), Account: account, Loan: loan, Tokens: tokens}
-	return call(ctx, c, to, borrowTimeout, Peer.Borrow, request)
+	return c.BorrowFor(ctx, to, from, account, loan, tokens, 0)
 }
 
 // Repay returns the unused tokens of a loan.
