residency: replace models at once after engines ended

Change: that wait is for the planner's own first seconds; unloading a model in use is priced with the wait for its requests.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -191,7 +191,7 @@
 		status = platform.WriteRefusal(t.writer, e.Reason, e.Ran, e.Retry)
 	}
 	h.log.Info("entry: refused", "request", t.request.ID, "reason", e.Reason.String(), "ran", e.Ran.String(), "status", status, "account", e.Account,
-		"route", e.Route, "after", (h.Now() - t.arrived).String(), "retry", e.Retry.String(), "waiting", e.Waited, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
+		"route", e.Route, "work", fmt.Sprint(t.request.Work), "after", (h.Now() - t.arrived).String(), "retry", e.Retry.String(), "waiting", e.Waited, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
 	if t.begun {
 		panic(http.ErrAbortHandler)
 	}
--- a/residency/place.go
+++ b/residency/place.go
@@ -30,7 +30,7 @@
 	if len(orders) > 0 {
 		return orders
 	}
-	if now-p.grown < settleTime {
+	if now-p.started < startTime && now-p.grown < settleTime {
 		return nil
 	}
 	replicas := p.replicas()
@@ -178,6 +178,7 @@
 	engine *engine
 	victim string // model that must be unloaded first; empty when there is room
 	time   time.Duration
+	runs   bool    // the victim is in use, so that unloading waits for its requests
 	loss   float64 // load of the victim's replicas afterwards
 	load   float64 // of the engine's other models
 }
@@ -221,6 +222,9 @@
 	if m.victim != "" {
 		price += retireTime.Seconds() * timePrice
 	}
+	if m.runs {
+		price += drainTime.Seconds() * timePrice
+	}
 	return price
 }
 
@@ -252,6 +256,7 @@
 	}
 	if found {
 		m.load -= replicas[m.victim].load(replicas[m.victim].serving)
+		m.runs = replicas[m.victim].demand > inUse
 	}
 	return m, found
 }
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -36,9 +36,14 @@
 	timePrice = 0.2
 	// loadPrice is the weight of an engine's other work.
 	loadPrice = 0.7
-	// settleTime is how long a planner waits after a new engine appeared before it loads models that nobody holds,
-	// because engines that start together register one after the other.
+	// settleTime is how long a planner that was started less than startTime ago waits after a new engine appeared before
+	// it loads models, because engines that start together register one after the other.
 	settleTime = 2 * time.Second
+	startTime  = 10 * time.Second
+	// inUse is the demand above which a model counts as in use, in prompt tokens a second. Unloading it waits for its
+	// requests, about drainTime.
+	inUse     = 400.0
+	drainTime = 2 * time.Second
 	// reportLag is how far a report may lag behind what the engine holds.
 	reportLag = 500 * time.Millisecond
 	// patience is the longest time for which a model load or unload is believed to be under way.
@@ -55,12 +60,13 @@
 	tokens  float64       // loads from the weight store that may begin
 	filled  time.Duration
 	settled []Settled
+	started time.Duration
 	grown   time.Duration // last time at which an engine appeared
 }
 
 // New returns a planner that knows no engine.
 func New(now time.Duration) *Planner {
-	return &Planner{engines: map[string]*engine{}, demand: map[string]float64{}, at: now, filled: now}
+	return &Planner{engines: map[string]*engine{}, demand: map[string]float64{}, at: now, filled: now, started: now}
 }
 
 // SetPool takes the pool's configuration.
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -165,6 +165,22 @@
 	}
 }
 
+// TestReplacesAtOnce guards against a model in use that stays without an engine because other engines start again: the
+// wait for registrations is for the planner's own start.
+func TestReplacesAtOnce(t *testing.T) {
+	p := newPlay(newSim("e1", "m1", "m2"), newSim("e2", "m3", "m4"), newSim("e3", "m5", "m6"))
+	p.run(12*time.Second, map[string]float64{"m1": 10_000})
+	p.sims[0].restart()
+	restarts := 0
+	for end := p.now + 15*time.Second; p.now < end; {
+		p.run(time.Second, map[string]float64{"m1": 10_000})
+		if restarts++; restarts < 12 && restarts%3 == 0 {
+			p.sims[2].restart()
+		}
+	}
+	qt.Check(t, p.holders("m1") >= 1, qt.IsTrue)
+}
+
 // TestRetiresFirst guards against unloading a model that hosts have not been told to leave alone.
 func TestRetiresFirst(t *testing.T) {
 	p := newPlay(newSim("e1", "m1", "m2", "m3"), newSim("e2", "m1", "m2", "m3"))
