logbook, entry: bounded logs, metrics on a listener of their own, bounded connections

Cause: logs had no bound and a blocked reader would have stopped the process; the host had no metrics; the connections to an endpoint were bounded by use only.

Counters and histograms for each step and a status page on the operators' listener. A host uses its part of nine tenths of the connections that an endpoint accepts.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -21,6 +21,7 @@
 	Until    time.Duration // end of the caller's time
 	Silence  time.Duration // without an answer after which the attempt is given up; 0 for none
 	Urgency  int           // 0 is first
+	Most     int           // connections that this host may have to the endpoint
 	Wait     time.Duration // estimate of the first answer, for the log
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -18,6 +18,10 @@
 	// waitShare is the part of its goal, and leastWait the time, for which a request waits for an endpoint with room.
 	waitShare = 0.5
 	leastWait = 20 * time.Millisecond
+	// connectionShare is the part of the connections of an endpoint that all hosts together use, because it accepts
+	// fewer while its queue is long; leastConnections is what one host may use in any case.
+	connectionShare  = 0.9
+	leastConnections = 16
 	// absentRetry is what a caller is told to wait when no endpoint holds its model; a load from disk takes about
 	// as long.
 	absentRetry = 1500 * time.Millisecond
@@ -276,10 +280,19 @@
 		Until:    r.deadline,
 		Silence:  s.silence(r),
 		Urgency:  urgency(r.choice.level),
+		Most:     s.connections(r.pool),
 		Wait:     r.choice.wait,
 	})
 }
 
+// connections returns this host's part of the connections that an endpoint accepts from all hosts; 0 for no bound.
+func (s *State) connections(p *pool) int {
+	if p.spec.Connections == 0 {
+		return 0
+	}
+	return max(int(connectionShare*float64(p.spec.Connections)*s.fraction), leastConnections)
+}
+
 // urgency maps a level to the urgencies of engines, from 0 to 9.
 func urgency(level int) int { return 1 + 2*level }
 
--- a/entry/access.go
+++ b/entry/access.go
@@ -33,6 +33,7 @@
 	peers func() (*peer.Client, []peer.Target) // other hosts, in a fixed order
 	self  peer.Sender
 	now   func() time.Duration
+	count func(way string, err error) // of calls
 
 	mu     sync.Mutex
 	away   bool          // the last direct call failed
@@ -72,6 +73,7 @@
 
 // note takes the result of a direct call.
 func (a *access) note(err error) {
+	a.count("direct", err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err == nil || errors.Is(err, table.ErrCompacted) {
@@ -141,6 +143,7 @@
 		snapshot = table.Snapshot{Rows: peer.TableRows(answer.GetRows()), Revision: answer.GetRevision()}
 		return true, true
 	})
+	a.count("relayed", notDone(done))
 	if !done {
 		return table.Snapshot{}, failed
 	}
@@ -159,12 +162,21 @@
 		result = table.Result{Committed: answer.GetCommitted(), Revision: answer.GetRevision()}
 		return true, !answer.GetAway()
 	})
+	a.count("relayed", notDone(done))
 	if !done {
 		return table.Result{}, failed
 	}
 	return result, nil
 }
 
+// notDone returns an error for a round in which no host had contact.
+func notDone(done bool) error {
+	if done {
+		return nil
+	}
+	return table.ErrUnavailable
+}
+
 // round asks other hosts until one serves. When a majority of all hosts, this one included, has no contact with the
 // store, nothing can have been changed as far as can be known, which counts as contact.
 func (a *access) round(ask func(client *peer.Client, to peer.Target) (answered, served bool)) bool {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -41,6 +41,7 @@
 // been answered.
 func (h *Host) attempt(parent context.Context, t *task, send dispatch.Send) bool {
 	t.last, t.sent = send, h.Now()
+	h.metrics.waited.Observe((t.sent - t.arrived).Seconds())
 	finished := dispatch.Finished{Number: t.number}
 	left := send.Until - h.Now()
 	if left <= 0 {
@@ -91,6 +92,7 @@
 		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.last.Attempt, "endpoint", t.last.Endpoint.ID,
 			"outcome", f.Outcome.String(), "took", f.Took.String(), "begun", t.begun)
 	}
+	h.metrics.attempts.WithLabelValues(f.Outcome.String()).Inc()
 	h.Apply(f)
 }
 
@@ -127,6 +129,8 @@
 	}
 	h.finish(t, f)
 	status := got.write(t.writer)
+	h.metrics.answered.WithLabelValues("whole").Inc()
+	h.metrics.whole.Observe(f.Took.Seconds())
 	h.log.Info("entry: answered", "request", t.request.ID, "status", status, "endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt,
 		"after", (h.Now() - t.arrived).String(), "took", f.Took.String())
 	return true
@@ -150,6 +154,7 @@
 			if !reported {
 				reported = true
 				t.first = h.Now() - t.sent
+				h.metrics.countFirst(t.first, t.last.Wait)
 				h.Apply(dispatch.First{Number: t.number})
 			}
 			t.begin(answer)
@@ -190,6 +195,7 @@
 func (h *Host) streamed(t *task, answer *connection.Answer) bool {
 	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true})
 	t.begin(answer)
+	h.metrics.answered.WithLabelValues("stream").Inc()
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
 		"attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume, "estimate", t.last.Wait.String(), "first", t.first.String(),
 		"urgency", t.last.Urgency, "waited", (t.sent - t.arrived).String())
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -51,12 +51,13 @@
 
 // ServeHTTP answers a caller.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.metrics.arrived.Inc()
 	if h.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	request, err := platform.DecodeRequest(r)
 	if err != nil {
-		h.log.Info("entry: refused a malformed request", "request", r.Header.Get("X-Request-Id"), "error", err)
+		h.log.Info("entry: refused a malformed request", "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -190,6 +191,7 @@
 	default:
 		status = platform.WriteRefusal(t.writer, e.Reason, e.Ran, e.Retry)
 	}
+	h.metrics.countRefusal(e)
 	h.log.Info("entry: refused", "request", t.request.ID, "reason", e.Reason.String(), "ran", e.Ran.String(), "status", status, "account", e.Account,
 		"route", e.Route, "work", fmt.Sprint(t.request.Work), "after", (h.Now() - t.arrived).String(), "retry", e.Retry.String(), "waiting", e.Waited, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
 	if t.begun {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,7 @@
 	log         hclog.Logger
 	store       *access
 	connections *connection.Pool
+	metrics     *metrics
 	tomb        tomb.Tomb
 	numbers     atomic.Uint64
 
@@ -57,9 +58,10 @@
 	ready   atomic.Bool
 	stop    stopping
 
-	callers *server
-	checks  *server
-	others  *server // for other hosts
+	callers   *server
+	checks    *server
+	others    *server // for other hosts
+	operators *server
 }
 
 // tickPeriod is the resolution of waiting times in the reducer.
@@ -97,9 +99,18 @@
 	h.engines = platform.NewEngines(h.connections, settings.Name)
 	h.fleet = newFleet(settings.Peers, settings.Domain)
 	h.store = &access{store: platform.NewStore(settings.Store), peers: h.targets, self: h.sender(), now: h.Now}
+	h.metrics = newMetrics(h)
+	h.store.count = func(way string, err error) { h.metrics.store.WithLabelValues(way, resultOf(err)).Inc() }
 	return h
 }
 
+func resultOf(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "done"
+}
+
 // Now returns the time since the process started, including that in which the machine was suspended.
 func (h *Host) Now() time.Duration { return sinceBoot() - h.start }
 
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -259,6 +259,7 @@
 		return
 	}
 	result, err := h.engines.Send(ctx, o, number)
+	h.metrics.orders.WithLabelValues(o.Kind.String(), result.String()).Inc()
 	h.log.Info("entry: order", "pool", pool, "endpoint", o.Endpoint, "kind", o.Kind.String(), "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "number", number, "why", o.Why, "result", result.String(), "error", err)
 	h.mu.Lock()
@@ -334,6 +335,7 @@
 		}
 		loaded = answer.GetLoaded()
 	}
+	h.metrics.fetched.Observe((h.Now() - started).Seconds())
 	h.log.Info("entry: fetched", "pool", e.Pool, "endpoint", e.Endpoint, "model", e.Model, "adapter", e.Adapter, "holder", holder,
 		"loaded", loaded, "took", (h.Now() - started).String())
 	h.Apply(dispatch.Fetched{Pool: e.Pool, Endpoint: e.Endpoint, Model: e.Model, Adapter: e.Adapter, Loaded: loaded})
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	goji "goji.io"
+	"goji.io/pat"
+
+	"magnoliahoist/dispatch"
+)
+
+// metrics are the counters and histograms of a host.
+type metrics struct {
+	registry *prometheus.Registry
+	arrived  prometheus.Counter
+	answered *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	store    *prometheus.CounterVec
+	waited   prometheus.Histogram
+	first    prometheus.Histogram
+	error    prometheus.Histogram
+	whole    prometheus.Histogram
+	fetched  prometheus.Histogram
+}
+
+// latencies are the bounds of histograms of times, in seconds.
+var latencies = []float64{0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8}
+
+func newMetrics(h *Host) *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "magnoliahoist", Subsystem: "entry", Name: name, Help: help}, labels)
+		m.registry.MustRegister(c)
+		return c
+	}
+	histogram := func(name, help string) prometheus.Histogram {
+		v := prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "magnoliahoist", Subsystem: "entry", Name: name, Help: help, Buckets: latencies})
+		m.registry.MustRegister(v)
+		return v
+	}
+	gauge := func(name, help string, read func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "magnoliahoist", Subsystem: "entry", Name: name, Help: help}, read))
+	}
+	m.arrived = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "magnoliahoist", Subsystem: "entry", Name: "requests_total", Help: "Requests whose header was read."})
+	m.registry.MustRegister(m.arrived)
+	m.answered = counter("answers_total", "Answers of endpoints handed to callers, by kind (whole or stream).", "kind")
+	m.refused = counter("refusals_total", "Answers of the host's own, by reason and whether the request ran.", "reason", "ran")
+	m.attempts = counter("attempts_total", "Attempts at endpoints that ended, by outcome.", "outcome")
+	m.orders = counter("orders_total", "Orders to engines, by kind and result.", "kind", "result")
+	m.store = counter("store_calls_total", "Calls to the store, by way (direct or relayed) and result.", "way", "result")
+	m.waited = histogram("wait_seconds", "Time from the arrival of a request to its last attempt.")
+	m.first = histogram("first_seconds", "Time from an attempt to the first event of a stream.")
+	m.error = histogram("first_error_seconds", "Absolute difference between the estimated and the measured time to the first event.")
+	m.whole = histogram("whole_seconds", "Time from an attempt to the head of a whole answer.")
+	m.fetched = histogram("fetch_seconds", "Time from asking for an adapter to the answer.")
+	gauge("configuration_version", "Version of the configuration in force; 0 when none is.", func() float64 {
+		if c := h.catalog.Load(); c != nil {
+			return float64(c.Version())
+		}
+		return 0
+	})
+	gauge("silence_seconds", "Time without contact with the store, through whichever host.", func() float64 { return h.store.Silence().Seconds() })
+	gauge("running_requests", "Requests that have not ended.", func() float64 { return float64(h.running()) })
+	gauge("known_endpoints", "Registered endpoints.", func() float64 { return float64(h.countEndpoints()) })
+	gauge("held_leases", "Leases that this host holds.", func() float64 { return float64(h.countLeases()) })
+	return m
+}
+
+func (h *Host) countEndpoints() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.directory.Endpoints())
+}
+
+func (h *Host) countLeases() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.holdings)
+}
+
+// countFirst records the time to the first event against its estimate.
+func (m *metrics) countFirst(measured, estimate time.Duration) {
+	m.first.Observe(measured.Seconds())
+	m.error.Observe((measured - estimate).Abs().Seconds())
+}
+
+// operatorHandler serves metrics and a summary of what the host knows.
+func (h *Host) operatorHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.Handle(pat.Get("/metrics"), promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc(pat.Get("/v1/status"), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(h.status()); err != nil {
+			h.log.Warn("entry: unable to write the status", "error", err)
+		}
+	})
+	return mux
+}
+
+// status is what a host says of itself.
+type status struct {
+	Name          string            `json:"name"`
+	ID            string            `json:"id"`
+	Ready         bool              `json:"ready"`
+	Stopping      bool              `json:"stopping"`
+	Configuration int64             `json:"configuration"`
+	Silence       string            `json:"silence"` // without contact with the store
+	Away          bool              `json:"away"`    // the store does not answer this host directly
+	Running       int               `json:"running"`
+	Waiting       int               `json:"waiting"`
+	Endpoints     int               `json:"endpoints"`
+	Members       []string          `json:"members"`
+	Leases        map[string]string `json:"leases"` // holder by pool
+}
+
+func (h *Host) status() status {
+	s := status{Name: h.settings.Name, Ready: h.ready.Load(), Stopping: h.stopping(), Silence: h.store.Silence().String(), Away: h.store.Away(), Leases: map[string]string{}}
+	if c := h.catalog.Load(); c != nil {
+		s.Configuration = c.Version()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.ID, s.Running, s.Waiting, s.Endpoints = h.fleet.self.ID, h.state.Running(), h.state.Waiting(), len(h.directory.Endpoints())
+	for name := range h.fleet.members {
+		s.Members = append(s.Members, name)
+	}
+	for pool, term := range h.fleet.terms {
+		s.Leases[pool] = term.Holder()
+	}
+	return s
+}
+
+// countRefusal counts an answer of the host's own.
+func (m *metrics) countRefusal(e dispatch.Refuse) {
+	m.refused.WithLabelValues(e.Reason.String(), e.Ran.String()).Inc()
+}
--- a/entry/run.go
+++ b/entry/run.go
@@ -8,10 +8,12 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahoist/config"
+	"magnoliahoist/logbook"
 )
 
 const (
@@ -31,13 +33,20 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory*megabyte)))
+	book := logbook.New(out, time.Now)
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "magnoliahoist",
-		Output:     out,
+		Output:     book,
+		Exclude:    book.Exclude,
 		Level:      hclog.LevelFromString(settings.Log.Level),
 		JSONFormat: settings.Log.Format == "json",
 	})
 	h := New(settings, log)
+	defer func() {
+		book.Close()
+		<-book.Done()
+	}()
+	go book.Report(log, h.Done())
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/entry/server.go
+++ b/entry/server.go
@@ -77,6 +77,13 @@
 		h.checks.net.Close()
 		return err
 	}
+	if h.operators, err = h.listen("operators", h.settings.Operators, h.operatorHandler()); err != nil {
+		h.callers.net.Close()
+		h.checks.net.Close()
+		h.others.net.Close()
+		return err
+	}
+	h.serveOn(h.operators)
 	h.serveOn(h.callers)
 	h.serveOn(h.checks)
 	h.serveOn(h.others)
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -58,6 +58,7 @@
 	h.tomb.Kill(nil)
 	h.checks.http.Close()
 	h.others.http.Close()
+	h.operators.http.Close()
 	return nil
 }
 
