--- /dev/null
+++ b/entry/access_test.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"magnoliahoist/fault"
+	"magnoliahoist/peer"
+	"magnoliahoist/platform"
+	"magnoliahoist/platform/fakeplatform"
+	"magnoliahoist/table"
+)
+
+// relay is another host that has contact with the store or not.
+type relay struct {
+	peer.Backend
+	away  bool
+	store *platform.Store
+}
+
+func (r *relay) Read(ctx context.Context, request *peer.ReadRequest) (*peer.ReadResponse, error) {
+	if r.away {
+		return &peer.ReadResponse{Away: true}, nil
+	}
+	snapshot, err := r.store.ReadAll(ctx, request.GetTable())
+	return &peer.ReadResponse{Rows: peer.RowsOf(snapshot.Rows), Revision: snapshot.Revision}, err
+}
+
+func (r *relay) Write(ctx context.Context, request *peer.WriteRequest) (*peer.WriteResponse, error) {
+	if r.away {
+		return &peer.WriteResponse{Away: true}, nil
+	}
+	result, err := r.store.Commit(ctx, peer.TxnOf(request))
+	return &peer.WriteResponse{Committed: result.Committed, Revision: result.Revision}, err
+}
+
+// accessBench is a host's way to a store that can fail for it, with other hosts.
+type accessBench struct {
+	access  *access
+	front   *fakeplatform.Store // as this host sees the store
+	behind  *fakeplatform.Store // as the others see it
+	relays  []*relay
+	now     time.Duration
+	targets []peer.Target
+}
+
+func startStore(t *testing.T) (*fakeplatform.Store, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	store := fakeplatform.NewStore()
+	go store.Serve(listener)
+	t.Cleanup(store.Stop)
+	return store, listener.Addr().String()
+}
+
+func newAccessBench(t *testing.T, relays int) *accessBench {
+	t.Helper()
+	b := &accessBench{now: time.Minute}
+	var front, behind string
+	b.front, front = startStore(t)
+	b.behind, behind = startStore(t)
+	client := peer.NewClient(&http.Client{}, "secret")
+	for n := range relays {
+		r := &relay{store: platform.NewStore(behind)}
+		id := string(rune('a' + n))
+		server := httptest.NewServer(peer.NewServer(r, id, "secret"))
+		t.Cleanup(server.Close)
+		b.relays = append(b.relays, r)
+		b.targets = append(b.targets, peer.Target{ID: id, Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	b.access = &access{
+		store: platform.NewStore(front), self: peer.Sender{ID: "self"},
+		peers: func() (*peer.Client, []peer.Target) { return client, b.targets },
+		now:   func() time.Duration { return b.now },
+		count: func(string, error) {},
+	}
+	return b
+}
+
+// TestAccess guards against a host that learns nothing while the store turns it away and serves others, and against
+// one that relies on its keys although it hears nobody.
+func TestAccess(t *testing.T) {
+	for name, test := range map[string]struct {
+		relays  int
+		turned  bool // the store turns this host away
+		away    int  // of the other hosts, those without contact
+		dead    int  // of the other hosts, those that don't answer
+		reads   bool
+		contact bool
+	}{
+		"store is well":                     {4, false, 0, 0, true, true},
+		"turned away, others served":        {4, true, 0, 0, true, true},
+		"turned away, one other is served":  {4, true, 3, 0, true, true},
+		"down for all":                      {4, true, 4, 0, false, true},
+		"down, a majority answers":          {4, true, 2, 2, false, true},
+		"down, a minority answers":          {4, true, 1, 3, false, false},
+		"cut off":                           {4, true, 0, 4, false, false},
+		"single host, store down":           {0, true, 0, 0, false, true},
+		"turned away, others dead but one":  {4, true, 0, 3, true, true},
+		"two hosts, other dead, store down": {1, true, 0, 1, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newAccessBench(t, test.relays)
+			b.front.Put("t", "k", []byte("v"))
+			b.behind.Put("t", "k", []byte("v"))
+			if test.turned {
+				b.front.Faults().Replace(fault.Faults{Refuse: true})
+			}
+			for n := range test.away {
+				b.relays[n].away = true
+			}
+			for n := range test.dead {
+				b.targets[len(b.targets)-1-n].Address = "127.0.0.1:1"
+			}
+			snapshot, err := b.access.ReadAll(context.Background(), "t")
+			qt.Check(t, err == nil, qt.Equals, test.reads, qt.Commentf("%v", err))
+			if test.reads {
+				qt.Check(t, snapshot.Rows, qt.HasLen, 1)
+			} else {
+				qt.Check(t, errors.Is(err, table.ErrUnavailable), qt.IsTrue)
+			}
+			qt.Check(t, b.access.Silence() == 0, qt.Equals, test.contact, qt.Commentf("%v", b.access.Silence()))
+		})
+	}
+}
+
+// TestAccessAfterReset guards against waiting for other hosts when only a connection was reset: the next call to the
+// store is direct.
+func TestAccessAfterReset(t *testing.T) {
+	b := newAccessBench(t, 1)
+	b.front.Put("t", "k", []byte("v"))
+	b.targets[0].Address = "127.0.0.1:1"
+	b.front.Faults().Replace(fault.Faults{Down: true})
+	_, err := b.access.ReadAll(context.Background(), "t")
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Check(t, b.access.Away(), qt.IsTrue)
+	b.front.Faults().Replace(fault.Faults{})
+	b.now += 100 * time.Millisecond
+	_, err = b.access.ReadAll(context.Background(), "t")
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, b.access.Away(), qt.IsFalse)
+}
+
+// TestAccessProbes guards against calls to a store that is down at the pace of the feeds: every call is paid for.
+func TestAccessProbes(t *testing.T) {
+	b := newAccessBench(t, 0)
+	b.front.Faults().Replace(fault.Faults{Refuse: true})
+	direct := 0
+	b.access.count = func(way string, _ error) {
+		if way == "direct" {
+			direct++
+		}
+	}
+	for range 100 {
+		_, _ = b.access.ReadAll(context.Background(), "t")
+		b.now += 50 * time.Millisecond
+	}
+	qt.Check(t, direct <= 2+int(5*time.Second/probePeriod), qt.IsTrue, qt.Commentf("%d calls in five seconds", direct))
+}
+
+// TestAccessCommit guards against a write that is refused although another host can make it, and against saying that
+// a write was not made when that isn't known.
+func TestAccessCommit(t *testing.T) {
+	txn := table.Txn{Compares: []table.Compare{{Key: "t/k"}}, Writes: []table.Write{{Key: "t/k", Value: []byte("v")}}}
+	for name, test := range map[string]struct {
+		faults fault.Faults
+		away   bool
+		want   error
+	}{
+		"direct":                          {fault.Faults{}, true, nil},
+		"through another host":            {fault.Faults{Refuse: true}, false, nil},
+		"refused, nobody has contact":     {fault.Faults{Refuse: true}, true, table.ErrNotSent},
+		"answer lost, nobody has contact": {fault.Faults{LoseReply: 1}, true, table.ErrUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newAccessBench(t, 1)
+			b.relays[0].away = test.away
+			b.front.Faults().Replace(test.faults)
+			result, err := b.access.Commit(context.Background(), txn)
+			if test.want == nil {
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, result.Committed, qt.IsTrue)
+				return
+			}
+			qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
