--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -25,6 +25,8 @@
 	useLife = 2 * time.Second
 	// dryTime is how long an account is refused at once after no host could lend it anything.
 	dryTime = 100 * time.Millisecond
+	// rateRetry is what a caller is told to wait besides, after its account's rate was used up.
+	rateRetry = 250 * time.Millisecond
 	// lenderRest is how long a lender that did not answer is not asked.
 	lenderRest = time.Second
 )
@@ -173,9 +175,11 @@
 	return false
 }
 
-// earnTime returns how long the account needs to earn what a request lacks.
+// earnTime returns how long the account needs to earn what a request lacks, with time for those that wait for the
+// same tokens.
 func (s *State) earnTime(now time.Duration, a *account, cost int64) time.Duration {
-	return time.Duration(float64(a.ledger.Missing(now, cost)) / a.spec.Rate * float64(time.Second))
+	earned := time.Duration(float64(a.ledger.Missing(now, cost)+a.debt) / a.spec.Rate * float64(time.Second))
+	return earned + rateRetry
 }
 
 // ask asks the next lender that answers for what the waiting requests of an account lack. It reports false when there
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -34,6 +34,7 @@
 	Ran     Ran
 	Retry   time.Duration // when a new try may succeed; 0 when unknown
 	Waited  int           // requests that wait in the pool, for the log
+	Inputs  string        // what the refusal was decided from, for the log
 }
 
 // Borrow asks a host for tokens of an account.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -365,8 +365,10 @@
 // refuse ends a request with an answer of the host's own. Requests that did not run get their tokens back.
 func (s *State) refuse(now time.Duration, r *request, reason Reason, retry time.Duration) {
 	delete(s.requests, r.arrive.Number)
+	refusal := s.refusal(r, reason, retry)
+	refusal.Inputs = s.explain(now, r, reason)
 	if !r.ran {
 		s.giveBack(now, r)
 	}
-	s.emit(s.refusal(r, reason, retry))
+	s.emit(refusal)
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -65,7 +65,7 @@
 	finished.Outcome, finished.Back = verdict.Outcome, verdict.Back
 	if !verdict.Usable {
 		h.discard(answer, verdict.Outcome)
-		h.finish(t, finished)
+		h.finish(t, finished, nil)
 		return false
 	}
 	if send.Route.Stream && answer.StatusCode == http.StatusOK {
@@ -87,10 +87,10 @@
 }
 
 // finish reports the end of an attempt.
-func (h *Host) finish(t *task, f dispatch.Finished) {
+func (h *Host) finish(t *task, f dispatch.Finished, cause error) {
 	if f.Outcome != dispatch.Done {
 		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.last.Attempt, "endpoint", t.last.Endpoint.ID,
-			"outcome", f.Outcome.String(), "took", f.Took.String(), "begun", t.begun)
+			"outcome", f.Outcome.String(), "took", f.Took.String(), "begun", t.begun, "error", cause)
 	}
 	h.metrics.attempts.WithLabelValues(f.Outcome.String()).Inc()
 	h.Apply(f)
@@ -111,7 +111,7 @@
 	case errors.Is(context.Cause(ctx), errSilent):
 		f.Outcome = dispatch.Silent
 	}
-	h.finish(t, f)
+	h.finish(t, f, err)
 	return false
 }
 
@@ -124,10 +124,10 @@
 	got := &wholeAnswer{status: answer.StatusCode, header: answer.Header, body: body}
 	if f.Outcome == dispatch.Failure {
 		t.held = got
-		h.finish(t, f)
+		h.finish(t, f, nil)
 		return false
 	}
-	h.finish(t, f)
+	h.finish(t, f, nil)
 	status := got.write(t.writer)
 	h.metrics.answered.WithLabelValues("whole").Inc()
 	h.metrics.whole.Observe(f.Took.Seconds())
@@ -176,7 +176,7 @@
 		if err == io.EOF && events.empty() {
 			return h.streamed(t, answer)
 		}
-		return h.broken(parent, ctx, t)
+		return h.broken(parent, ctx, t, err)
 	}
 }
 
@@ -193,7 +193,7 @@
 
 // streamed ends a stream that is complete.
 func (h *Host) streamed(t *task, answer *connection.Answer) bool {
-	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true})
+	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true}, nil)
 	t.begin(answer)
 	h.metrics.answered.WithLabelValues("stream").Inc()
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
@@ -203,7 +203,7 @@
 }
 
 // broken ends an attempt whose stream broke off. Another endpoint may go on where the route allows it.
-func (h *Host) broken(parent, ctx context.Context, t *task) bool {
+func (h *Host) broken(parent, ctx context.Context, t *task, err error) bool {
 	if parent.Err() != nil {
 		h.end(parent, t)
 		return true
@@ -212,7 +212,7 @@
 	if errors.Is(context.Cause(ctx), errSilent) {
 		outcome = dispatch.Silent
 	}
-	h.finish(t, dispatch.Finished{Number: t.number, Outcome: outcome})
+	h.finish(t, dispatch.Finished{Number: t.number, Outcome: outcome}, err)
 	return false
 }
 
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -163,7 +162,7 @@
 func (h *Host) end(ctx context.Context, t *task) {
 	if !errors.Is(context.Cause(ctx), errExpired) {
 		h.Apply(dispatch.Left{Number: t.number})
-		h.log.Info("entry: caller left", "request", t.request.ID, "after", (h.Now() - t.arrived).String(), "endpoint", t.last.Endpoint.ID, "work", fmt.Sprint(t.request.Work))
+		h.log.Info("entry: caller left", "request", t.request.ID, "after", (h.Now() - t.arrived).String(), "endpoint", t.last.Endpoint.ID, "work", t.request.Describe())
 		return
 	}
 	h.Apply(dispatch.Expired{Number: t.number})
@@ -193,7 +192,7 @@
 	}
 	h.metrics.countRefusal(e)
 	h.log.Info("entry: refused", "request", t.request.ID, "reason", e.Reason.String(), "ran", e.Ran.String(), "status", status, "account", e.Account,
-		"route", e.Route, "work", fmt.Sprint(t.request.Work), "after", (h.Now() - t.arrived).String(), "retry", e.Retry.String(), "waiting", e.Waited, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
+		"route", e.Route, "work", t.request.Describe(), "after", (h.Now() - t.arrived).String(), "retry", e.Retry.String(), "waiting", e.Waited, "inputs", e.Inputs, "endpoint", t.last.Endpoint.ID, "begun", t.begun)
 	if t.begun {
 		panic(http.ErrAbortHandler)
 	}
--- a/intake/request.go
+++ b/intake/request.go
@@ -2,6 +2,7 @@
 package intake
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -49,6 +50,22 @@
 	Body     []byte
 }
 
+// Describe names what the request asks for in a few words.
+func (r *Request) Describe() string {
+	switch w := r.Work.(type) {
+	case Generation:
+		name := w.Model
+		if w.Adapter != "" {
+			name += "/" + w.Adapter
+		}
+		return fmt.Sprintf("%s, %d tokens in, %d out", name, w.Prompt, w.Output)
+	case Call:
+		return "call"
+	default:
+		return "unknown work"
+	}
+}
+
 // Tokens returns the tokens that the caller states.
 func (r *Request) Tokens() int64 {
 	switch w := r.Work.(type) {
--- a/metric/metric_test.go
+++ b/metric/metric_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Guards against a metric that docs/operations.md does not explain.
+// Guards against a metric that docs/OPERATIONS.md does not explain.
 func TestDocumented(t *testing.T) {
 	zero := func() float64 { return 0 }
 	m := metric.New(metric.Gauges{Fresh: zero, Running: zero, Waiting: zero, Revision: zero, Contact: zero, Members: zero, Silent: zero,
@@ -62,7 +62,7 @@
 	m.CountMove("p")
 	recorder := httptest.NewRecorder()
 	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
-	page, err := os.ReadFile("../docs/operations.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	qt.Assert(t, err, qt.IsNil)
 	names := regexp.MustCompile(`# TYPE (magnoliahoist_\w+)`).FindAllStringSubmatch(recorder.Body.String(), -1)
 	qt.Assert(t, len(names) > 15, qt.IsTrue)
--- a/system/day_test.go
+++ b/system/day_test.go
@@ -59,7 +59,7 @@
 	return path
 }
 
-// Guards against commands that do not work against hosts as docs/operations.md prints them: tables, keys,
+// Guards against commands that do not work against hosts as docs/OPERATIONS.md prints them: tables, keys,
 // a key withdrawn in mid-stream, a host that dies, a drain, the time line of all that, and exit statuses.
 func TestOperatorsDay(t *testing.T) {
 	c := qt.New(t)
