lease: date a lease's row by the store's clock

Change: the holder writes a time on the store's clock that is not before the write; a host that reads the row knows its least age.

--- a/entry/access.go
+++ b/entry/access.go
@@ -140,7 +140,7 @@
 		case answer.GetCompacted():
 			compacted = errors.Annotate(table.ErrCompacted, "entry: unable to follow a table through another host")
 		}
-		snapshot = table.Snapshot{Rows: peer.TableRows(answer.GetRows()), Revision: answer.GetRevision()}
+		snapshot = table.Snapshot{Rows: peer.TableRows(answer.GetRows()), Revision: answer.GetRevision(), Clock: time.Duration(answer.GetClock())}
 		return true, true
 	})
 	a.count("relayed", notDone(done))
@@ -241,7 +241,7 @@
 		h.log.Info("entry: unable to read for another host", "host", r.GetHeader().GetFrom(), "table", r.GetTable(), "error", err)
 		return &peer.ReadResponse{Away: true}
 	}
-	return &peer.ReadResponse{Rows: peer.RowsOf(snapshot.Rows), Revision: snapshot.Revision}
+	return &peer.ReadResponse{Rows: peer.RowsOf(snapshot.Rows), Revision: snapshot.Revision, Clock: int64(snapshot.Clock)}
 }
 
 // writeFor makes a write for a host that the store turns away.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -16,7 +16,7 @@
 	feedWait = 20 * time.Second
 	// operatorWait is the same for the configuration. Its answers also show that the store can be reached, so it is
 	// well below the time for which a host relies on what it knows without contact.
-	operatorWait = 4 * time.Second
+	operatorWait = 7 * time.Second
 	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
 	feedPause      = 100 * time.Millisecond
 	feedPauseLimit = 800 * time.Millisecond
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -117,6 +117,7 @@
 	if !h.mustLook() {
 		return
 	}
+	asked := sinceBoot()
 	snapshot, err := h.store.ReadAll(ctx, leaseTable)
 	if err != nil {
 		h.log.Info("entry: unable to read the leases", "error", err)
@@ -129,7 +130,7 @@
 		rows[strings.TrimPrefix(row.Key, leasePrefix)] = row
 	}
 	for _, pool := range h.enginePools() {
-		h.observeLease(pool, h.termOf(pool), rows[pool])
+		h.observeLease(pool, h.termOf(pool), rows[pool], asked, snapshot.Clock)
 	}
 }
 
@@ -153,7 +154,7 @@
 }
 
 // observeLease shows a lease's row, unset when there is none, to its term. The caller holds the lock.
-func (h *Host) observeLease(pool string, term *lease.Term, row table.Row) {
+func (h *Host) observeLease(pool string, term *lease.Term, row table.Row, asked, clock time.Duration) {
 	var content lease.Tenancy
 	if row.Revision > 0 {
 		if err := json.Unmarshal(row.Value, &content); err != nil {
@@ -161,7 +162,7 @@
 		}
 	}
 	before := term.Holder()
-	term.Observe(sinceBoot(), content, row.Revision)
+	term.Observe(asked, sinceBoot(), content, row.Revision, clock)
 	if term.Holder() != before {
 		delete(h.fleet.missed, pool)
 		h.log.Info("entry: lease changed hands", "pool", pool, "holder", term.Holder(), "number", term.Number(), "revision", row.Revision)
--- a/lease/term.go
+++ b/lease/term.go
@@ -2,11 +2,16 @@
 
 import "time"
 
+// clockLife is how long a reading of the table service's clock is relied on: clocks drift apart by less than 300 ms in
+// it, which is below the margin that hosts add to Gap.
+const clockLife = 10 * time.Minute
+
 // Tenancy is the content of a lease's row.
 type Tenancy struct {
 	Holder   string `json:"holder"` // id of the process
 	Number   int64  `json:"number"` // higher for each holder
 	Renewal  int64  `json:"renewal"`
+	At       int64  `json:"at"` // milliseconds on the table service's clock before which the write was decided
 	Released bool   `json:"released,omitempty"`
 }
 
@@ -43,6 +48,8 @@
 	acting   time.Duration // end of the time in which this process may act
 	asked    time.Duration // start of the last write
 	written  Tenancy       // content of the last write
+	clock    time.Duration // of the table service, at least as late as it was at the local time read
+	read     time.Duration
 	pending  bool
 }
 
@@ -51,13 +58,19 @@
 	return &Term{settings: settings, self: self}
 }
 
-// Observe takes the row as of a revision; an absent row has the revision 0.
-func (t *Term) Observe(now time.Duration, row Tenancy, revision int64) {
+// Observe takes the row as of a revision; an absent row has the revision 0. The read began at the time asked and was
+// answered at the time now; clock is the table service's clock at the answer. It dates the row's last write, so that a
+// process that has just started need not watch it for as long.
+func (t *Term) Observe(asked, now time.Duration, row Tenancy, revision int64, clock time.Duration) {
 	t.looked = now
+	t.clock, t.read = clock, asked
 	if t.known && revision <= t.revision {
 		return
 	}
 	t.row, t.revision, t.changed, t.known = row, revision, now, true
+	if at := time.Duration(row.At) * time.Millisecond; at > 0 && clock > at {
+		t.changed = now - (clock - at)
+	}
 	switch {
 	case row.Holder != t.self:
 		t.acting = 0
@@ -109,10 +122,20 @@
 }
 
 func (t *Term) begin(now time.Duration, action Action, row Tenancy) (Action, Tenancy, int64) {
+	row.At = t.date(now)
 	t.pending, t.asked, t.written = true, now, row
 	return action, row, t.revision
 }
 
+// date returns a time on the table service's clock, in milliseconds, that is not before now; 0 when the last reading is
+// too old to tell.
+func (t *Term) date(now time.Duration) int64 {
+	if now-t.read > clockLife {
+		return 0
+	}
+	return (t.clock + now - t.read).Milliseconds() + 1
+}
+
 // Written takes the result of a write. One without a known result gives no right to act; the feed shows later
 // whether it took effect.
 func (t *Term) Written(row Tenancy, revision int64, committed bool) {
@@ -133,5 +156,5 @@
 		return Tenancy{}, 0, false
 	}
 	t.acting, t.written = 0, Tenancy{}
-	return Tenancy{Holder: t.self, Number: t.row.Number, Renewal: t.row.Renewal + 1, Released: true}, t.revision, true
+	return Tenancy{Holder: t.self, Number: t.row.Number, Renewal: t.row.Renewal + 1, At: t.date(now), Released: true}, t.revision, true
 }
--- a/table/table.go
+++ b/table/table.go
@@ -1,7 +1,11 @@
 // Package table is the client of the platform's table service.
 package table
 
-import "github.com/juju/errors"
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
 
 // Row is one key with its value; Revision is that of its last write.
 type Row struct {
@@ -11,10 +15,11 @@
 	Deleted  bool // only in feeds of changes
 }
 
-// Snapshot holds rows as of Revision.
+// Snapshot holds rows as of Revision. Clock is the service's steady clock at the answer, where it tells it.
 type Snapshot struct {
 	Rows     []Row
 	Revision int64
+	Clock    time.Duration
 }
 
 // Compare is a condition on the revision of a row; 0 requires that the row is absent.
