--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RED      := $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP     := $(if $(RED),-skip '^($(RED))$$',)
 
-.PHONY: help build run test lint generate generated model prove bench red ci clean
+.PHONY: help build run test lint generate generated model prove bench red size ci clean
 
 help: ## list the targets
 	@grep -hE '^[a-z]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -44,6 +44,11 @@
 	$(GO) test -timeout 30m -count=1 -run '^$$' -bench . -benchmem ./limit ./queue ./endpoint ./state
 	$(GO) run . bench
 
+size: ## print the lines of the platform's folder, of the product and of the tests
+	@echo "platform/ $$(git ls-files 'platform/*.go' | grep -v '_test.go\|fakeplatform' | xargs cat | wc -l)"
+	@echo "product  $$(git ls-files '*.go' | grep -vE '_test\.go|\.pb\.go|\.twirp\.go|_string\.go|^fake|fakeplatform' | xargs cat | wc -l)"
+	@echo "tests    $$(git ls-files '*_test.go' | xargs cat | wc -l)"
+
 ci: lint generated test model ## what continuous integration runs
 
 clean: ## remove built files
--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -126,9 +126,6 @@
 	return n, err
 }
 
-// Buffered reports whether more of the body can be read without waiting.
-func (a *Answer) Buffered() bool { return a.conn.reader.Buffered() > 0 }
-
 // Spoil makes Close close the connection.
 func (a *Answer) Spoil() { a.spoiled = true }
 
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -48,7 +48,6 @@
 	owner   string // endpoint process that the connection was opened for
 	expires time.Time
 	reader  *reader
-	used    bool // it has carried an exchange
 }
 
 // New returns an empty pool.
@@ -160,7 +159,6 @@
 		c.discard()
 		return
 	}
-	c.used = true
 	c.expires = time.Now().Add(life)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -58,7 +58,6 @@
 type Directory struct {
 	endpoints map[string]Endpoint
 	lapsed    map[string]time.Duration // removed while the registry was away; when each is given up
-	away      time.Duration            // when the registry was lost
 	lost      bool
 	returned  time.Duration
 }
@@ -69,11 +68,7 @@
 }
 
 // Lose says that the registry can't be reached.
-func (d *Directory) Lose(now time.Duration) {
-	if !d.lost {
-		d.lost, d.away = true, now
-	}
-}
+func (d *Directory) Lose() { d.lost = true }
 
 // Regain says that the registry answers again.
 func (d *Directory) Regain(now time.Duration) {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -40,21 +40,21 @@
 		},
 		"lapsed while the registry was away": {
 			func(d *directory.Directory) {
-				d.Lose(10 * time.Second)
+				d.Lose()
 				d.Regain(back)
 				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 			}, back + time.Second, []string{"a", "b"},
 		},
 		"still missing two seconds after": {
 			func(d *directory.Directory) {
-				d.Lose(10 * time.Second)
+				d.Lose()
 				d.Regain(back)
 				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 			}, back + 2*time.Second, []string{},
 		},
 		"back within two seconds": {
 			func(d *directory.Directory) {
-				d.Lose(10 * time.Second)
+				d.Lose()
 				d.Regain(back)
 				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 				d.Apply(back+time.Second, []directory.Change{put("a")})
@@ -65,14 +65,14 @@
 				leaving := put("a")
 				leaving.Endpoint.Leaving = true
 				d.Apply(9*time.Second, []directory.Change{leaving})
-				d.Lose(10 * time.Second)
+				d.Lose()
 				d.Regain(back)
 				d.Apply(back, []directory.Change{gone("a"), gone("b")})
 			}, back, []string{"b"},
 		},
 		"lapsed a second time": {
 			func(d *directory.Directory) {
-				d.Lose(10 * time.Second)
+				d.Lose()
 				d.Regain(back)
 				d.Apply(back, []directory.Change{gone("a")})
 				d.Apply(back+1900*time.Millisecond, []directory.Change{gone("a")})
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -46,7 +46,7 @@
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			h.registry.current = false
-			h.directory.Lose(h.Now())
+			h.directory.Lose()
 		},
 		regained: func() {
 			h.mu.Lock()
--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -73,7 +72,7 @@
 			ID: fmt.Sprint("s", n), Service: "app", Zone: "z1", Store: s.store.address(), Slots: 6,
 		}))
 	}
-	s.configure(nil)
+	s.configure()
 	for n := range hosts {
 		s.startHost(fmt.Sprint("host", n))
 	}
@@ -119,46 +118,14 @@
 	s.t.Fatalf("waited in vain: %s", what)
 }
 
-// configure writes a configuration, changed by the function, to the store.
-func (s *site) configure(change func(c map[string]any)) {
+// configure writes a configuration with the keys, or with k1 when there are none.
+func (s *site) configure(keys ...string) {
 	s.t.Helper()
-	s.version++
-	model := map[string]any{"weights_mb": 10, "load_s": 0.1, "adapters": 3, "adapter_mb": 0.1, "warm_s": 0.1, "disk_s": 0.1}
-	var models []any
-	for _, name := range []string{"m1", "m2"} {
-		named := map[string]any{"name": name}
-		for k, v := range model {
-			named[k] = v
-		}
-		models = append(models, named)
-	}
-	route := func(name, kind, service string, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "host": "h", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 5000, "goal_ms": 2000, "attempts": 2}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
+	if len(keys) == 0 {
+		keys = []string{"k1"}
 	}
-	c := map[string]any{
-		"version": s.version,
-		"routes": []any{
-			route("draft", "stream", "llm", map[string]any{"attempts": 1, "gap_goal_ms": 1000}),
-			route("free", "stream", "llm", map[string]any{"can_resume": true}),
-			route("stamp", "non_idempotent", "app", map[string]any{"attempts": 1}),
-			route("lookup", "idempotent", "app", nil),
-			route("open", "idempotent", "app", map[string]any{"public": true}),
-		},
-		"services": []any{
-			map[string]any{"name": "llm", "max_conns": 100, "engine": map[string]any{"slots": 64, "kv_capacity": 100000, "weights_mb": 31, "adapter_slots": 2, "loads_per_s": 10, "models": models}},
-			map[string]any{"name": "app", "max_conns": 100},
-		},
-		"limits":  map[string]any{"header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "t1", "api_keys": []string{"k1"}, "unit": "tokens", "plain_tokens": 10, "rate_per_s": 1000000, "burst": 1000000}},
-	}
-	if change != nil {
-		change(c)
-	}
-	value, err := json.Marshal(c)
+	s.version++
+	value, err := json.Marshal(fakeplatform.Configuration(s.version, keys...))
 	qt.Assert(s.t, err, qt.IsNil)
 	s.put("op", "config", value)
 }
@@ -166,12 +133,7 @@
 // put writes a row to the store.
 func (s *site) put(table, key string, value []byte) {
 	s.t.Helper()
-	body, err := json.Marshal(map[string]any{"writes": []fakeplatform.Row{{Table: table, Key: key, Value: value}}})
-	qt.Assert(s.t, err, qt.IsNil)
-	response, err := s.client.Post("http://"+s.store.address()+"/rows-tx", "application/json", bytes.NewReader(body))
-	qt.Assert(s.t, err, qt.IsNil)
-	response.Body.Close()
-	qt.Assert(s.t, response.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(s.t, fakeplatform.PutRow(s.client, s.store.address(), table, key, value), qt.IsNil)
 }
 
 // asked is a caller's request.
@@ -180,7 +142,7 @@
 	path   string
 	key    string
 	model  string
-	header map[string]string
+	tokens string
 	body   string
 }
 
@@ -198,21 +160,14 @@
 	s.t.Helper()
 	s.next++
 	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(s.t.Name(), "/", "-"), s.next)
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.callers[a.host]+a.path, strings.NewReader(a.body))
-	qt.Assert(s.t, err, qt.IsNil)
-	request.Host = "h"
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", "5000")
-	if a.key != "" {
-		request.Header.Set("Authorization", "Token "+a.key)
-	}
+	tokens := a.tokens
 	if a.model != "" {
-		request.Header.Set("X-Model", a.model)
-		request.Header.Set("X-Token-Count", "100,10")
-	}
-	for name, value := range a.header {
-		request.Header.Set(name, value)
+		tokens = "100,10"
 	}
+	request, err := fakeplatform.Request{
+		ID: id, Host: "h", Path: a.path, Key: a.key, Model: a.model, Tokens: tokens, Patience: 5 * time.Second, Body: a.body,
+	}.HTTP(s.callers[a.host])
+	qt.Assert(s.t, err, qt.IsNil)
 	response, err := s.client.Do(request)
 	if err != nil {
 		return answered{id: id}
@@ -276,7 +231,7 @@
 		"no route":         {asked{path: "/else/1", key: "k1"}, 404, 0},
 		"unknown model":    {asked{path: "/draft/1", key: "k1", model: "m9"}, 503, 0},
 		"body too large":   {asked{path: "/stamp/1", key: "k1", body: strings.Repeat("x", 70000)}, 413, 0},
-		"malformed tokens": {asked{path: "/draft/1", key: "k1", header: map[string]string{"X-Token-Count": "x"}}, 400, 0},
+		"malformed tokens": {asked{path: "/draft/1", key: "k1", tokens: "x"}, 400, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			got := s.ask(test.asked)
@@ -294,7 +249,7 @@
 			qt.Check(t, runs[0].Body, qt.Equals, test.asked.body)
 			qt.Check(t, runs[0].Keyed, qt.IsFalse)
 			qt.Check(t, runs[0].Account == "t1", qt.Equals, test.asked.key != "")
-			qt.Check(t, got.header.Get("X-Response-Stamp"), qt.Not(qt.Equals), "")
+			qt.Check(t, fakeplatform.Signed(got.header), qt.IsTrue)
 			if test.asked.model != "" {
 				qt.Check(t, eventIDs(got.body), qt.DeepEquals, []string{"1", "2", "3", "4", "5"})
 			}
@@ -343,7 +298,7 @@
 				qt.Check(t, got.whole, qt.IsFalse, qt.Commentf("%s", got.body))
 			case test.status != 0:
 				qt.Check(t, got.status, qt.Equals, test.status)
-				qt.Check(t, got.header.Get("X-Response-Stamp"), qt.Equals, "")
+				qt.Check(t, fakeplatform.Signed(got.header), qt.IsFalse)
 			}
 		})
 	}
@@ -354,9 +309,7 @@
 func TestPlatformConfiguration(t *testing.T) {
 	parallel(t)
 	s := newSite(t, 3)
-	s.configure(func(c map[string]any) {
-		c["tenants"] = []any{map[string]any{"name": "t1", "api_keys": []string{"k3"}}}
-	})
+	s.configure("k3")
 	for n := range s.hosts {
 		s.await("the key is withdrawn", func() bool { return s.ask(asked{host: n, path: "/stamp/1", key: "k1"}).status == 401 })
 		qt.Check(t, s.ask(asked{host: n, path: "/stamp/1", key: "k3"}).status, qt.Equals, 200)
@@ -364,7 +317,7 @@
 	response, err := s.client.Post("http://"+s.store.address()+"/compact", "", nil)
 	qt.Assert(t, err, qt.IsNil)
 	response.Body.Close()
-	s.configure(nil)
+	s.configure()
 	for n := range s.hosts {
 		s.await("the newest keys are in force", func() bool { return s.ask(asked{host: n, path: "/stamp/1", key: "k1"}).status == 200 })
 	}
@@ -396,7 +349,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	setFault(t, s.store.address(), fault.Faults{})
-	s.configure(func(c map[string]any) { c["tenants"] = []any{map[string]any{"name": "t1", "api_keys": []string{"k3"}}} })
+	s.configure("k3")
 	for n := range s.hosts {
 		s.await("the key is withdrawn", func() bool { return s.ask(asked{host: n, path: "/stamp/1", key: "k1"}).status == 401 })
 	}
@@ -464,7 +417,7 @@
 	s.put("op", "note", []byte(`note`))
 	time.Sleep(500 * time.Millisecond)
 	qt.Check(t, s.ask(asked{path: "/stamp/1", key: "k1"}).status, qt.Equals, 200)
-	s.configure(func(c map[string]any) {
+	s.configure("k9")
 		c["version"] = 9
 		c["tenants"] = []any{map[string]any{"name": "t1", "api_keys": []string{"k9"}}}
 	})
