entry: remove the rows of hosts that are gone for good

Ruled out: removing a host as soon as it is not heard; it may go on serving for the ten seconds in which it relies on its keys, and its part would be used twice.

Change: the holder of a lease removes rows of hosts that it has not heard for 13 s, while it hears a majority. TestPlatformHostGone failed before (the row stayed) and passes.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -104,6 +104,7 @@
 	}
 	from := r.GetHeader().GetFrom()
 	held.loads[from] = reported{at: now, loads: loads}
+	h.seen(from)
 	return withRetiring(loadsOf(held.othersLoad(now, from)), held.planner.Retiring()), true
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -46,24 +46,28 @@
 
 // fleet is what the host knows of the hosts. The host's lock guards it.
 type fleet struct {
-	self    member
-	members map[string]member // by name
-	terms   map[string]*lease.Term
-	missed  map[string]time.Duration // since when the holder of a pool's lease has not answered
-	looked  time.Duration            // last read of the leases
-	read    bool                     // the table has been read whole
-	secret  string
-	server  http.Handler // for other hosts; nil until the secret is known
-	client  *peer.Client
+	self      member
+	members   map[string]member        // by name
+	revisions map[string]int64         // of the members\' rows, by name
+	heard     map[string]time.Duration // last exchange with a member, by id; kept by holders of leases
+	terms     map[string]*lease.Term
+	missed    map[string]time.Duration // since when the holder of a pool's lease has not answered
+	looked    time.Duration            // last read of the leases
+	read      bool                     // the table has been read whole
+	secret    string
+	server    http.Handler // for other hosts; nil until the secret is known
+	client    *peer.Client
 }
 
 func newFleet(address, domain string) fleet {
 	return fleet{
-		self:    member{ID: randomText(idBytes), Address: address, Domain: domain},
-		members: map[string]member{},
-		terms:   map[string]*lease.Term{},
-		missed:  map[string]time.Duration{},
-		looked:  -leaseLook,
+		self:      member{ID: randomText(idBytes), Address: address, Domain: domain},
+		members:   map[string]member{},
+		revisions: map[string]int64{},
+		heard:     map[string]time.Duration{},
+		terms:     map[string]*lease.Term{},
+		missed:    map[string]time.Duration{},
+		looked:    -leaseLook,
 	}
 }
 
@@ -120,6 +124,7 @@
 		h.log.Info("entry: member", "name", name, "id", m.ID, "address", m.Address, "revision", row.Revision)
 	}
 	h.fleet.members[name] = m
+	h.fleet.revisions[name] = row.Revision
 }
 
 func (h *Host) learnSecret(row table.Row) {
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -189,6 +189,7 @@
 		return
 	}
 	delete(h.holdings, pool)
+	clear(h.fleet.heard) // a later holding begins to look anew
 	for _, answer := range held.tickets {
 		answer <- false
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -92,6 +92,7 @@
 	h.tomb.Go(h.followFleet)
 	h.tomb.Go(h.enrol)
 	h.tomb.Go(h.hold)
+	h.tomb.Go(func() error { return h.every(dismissPeriod, h.dismiss) })
 	h.tomb.Go(func() error { return h.every(planPeriod, h.lookAtLeases) })
 	h.tomb.Go(func() error { return h.every(summaryPeriod, h.summarize) })
 	h.tomb.Go(func() error { return h.every(sweepPeriod, h.tidy) })
--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -33,6 +33,7 @@
 	hosts   []*process
 	callers []string // addresses of the hosts for callers
 	ready   []string
+	status  []string // addresses of the hosts for operators
 	engines []*process
 	apps    []*process
 	client  *http.Client
@@ -85,9 +86,9 @@
 // startHost runs an entry host.
 func (s *site) startHost(name string) {
 	s.t.Helper()
-	callers, ready := freeAddress(s.t), freeAddress(s.t)
+	callers, ready, operators := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
 	settings, err := json.Marshal(map[string]any{
-		"name": name, "domain": "z1", "callers": callers, "ready": ready, "peers": freeAddress(s.t), "operators": freeAddress(s.t),
+		"name": name, "domain": "z1", "callers": callers, "ready": ready, "peers": freeAddress(s.t), "operators": operators,
 		"store": s.store.address(), "lease": "300ms", "grace": "8s",
 	})
 	qt.Assert(s.t, err, qt.IsNil)
@@ -96,6 +97,7 @@
 	s.hosts = append(s.hosts, start(s.t, name, "entry", "--config", file))
 	s.callers = append(s.callers, callers)
 	s.ready = append(s.ready, ready)
+	s.status = append(s.status, operators)
 }
 
 func (s *site) isReady(n int) bool {
@@ -376,6 +378,35 @@
 	}
 }
 
+// members returns the hosts that a host knows.
+func (s *site) members(n int) []string {
+	response, err := s.client.Get("http://" + s.status[n] + "/v1/status")
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var status struct{ Members []string }
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		return nil
+	}
+	return status.Members
+}
+
+// TestPlatformHostGone guards against parts of allowances that stay with a host that is gone for good, and against
+// removing hosts that live.
+func TestPlatformHostGone(t *testing.T) {
+	parallel(t)
+	s := newSite(t, 3)
+	s.await("all are members", func() bool { return len(s.members(0)) == 3 })
+	s.hosts[2].kill()
+	s.await("the row of the dead host is removed", func() bool { return len(s.members(0)) == 2 && len(s.members(1)) == 2 })
+	for range 20 {
+		time.Sleep(100 * time.Millisecond)
+		qt.Check(t, len(s.members(0)), qt.Equals, 2)
+	}
+	qt.Check(t, s.ask(asked{host: 1, path: "/stamp/1", key: "k1"}).status, qt.Equals, 200)
+}
+
 // TestPlatformStop guards against a planned stop that cuts off requests, and against a host that counts as ready while
 // it stops.
 func TestPlatformStop(t *testing.T) {
