--- a/entry/server.go
+++ b/entry/server.go
@@ -14,6 +14,9 @@
 const (
 	// headerTimeout bounds the reading of a request's header until a configuration states the bound.
 	headerTimeout = 3 * time.Second
+	// idleLimit is how long a connection may stay unused. It is above what configurations state, 15 s, because a
+	// connection that is closed as its next request arrives loses that request; the stated bound is not enforced.
+	idleLimit = 5 * time.Minute
 	// maxHeader bounds a request's header in bytes; configurations state 16 KiB.
 	maxHeader = 64 << 10
 )
@@ -25,8 +28,7 @@
 	net  net.Listener
 }
 
-// listen opens a listener. Idle connections of callers are closed by the sweep, because the configuration that
-// bounds their time changes.
+// listen opens a listener.
 func (h *Host) listen(name, address string, handler http.Handler) (*server, error) {
 	opened, err := net.Listen("tcp", address)
 	if err != nil {
@@ -35,7 +37,7 @@
 	return &server{name: name, net: opened, http: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       time.Hour,
+		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          h.log.StandardLogger(nil),
 	}}, nil
