--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 	apps    []*process
 	client  *http.Client
 	version int64
-	next    int
+	next    atomic.Int64 // number of the next request
 }
 
 // freeAddress returns an address that was free a moment ago.
@@ -160,8 +161,7 @@
 // ask sends a request to a host.
 func (s *site) ask(a asked) answered {
 	s.t.Helper()
-	s.next++
-	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(s.t.Name(), "/", "-"), s.next)
+	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(s.t.Name(), "/", "-"), s.next.Add(1))
 	tokens := a.tokens
 	if a.model != "" {
 		tokens = "100,10"
