residency: search for places cheaply, once in 90 ms, and place at once after a takeover

Each order, report and wish for an adapter made the planner look at all models, and with demand for all of 242 models on 145 engines one look took 129 ms (BenchmarkNext). Connections timed out, the lease was not renewed in time (at 23.4 s), and hosts overfilled engines without the exchange of load. The new holder then placed nothing for 8 s: it waited for engines to register, though only a release replaced some of them, one after another.

Ruled out: a broken store (it answered the other hosts), an allowance that was refused wrongly (all but 14 of 12,646 such refusals were of the account that asked eight times its rate).

Change: what an engine offers is computed once a look, not once for each model; models whose gain can't pay are skipped before the search; models are looked at every 90 ms, not after each order; several orders may come of one look. The wait for registrations counts from the time at which the host learned the registry, and only a tenth of the pool appearing at once extends it. Loads that wait for the weight store's rate begin with models that nobody serves.

Also mended, found while reading: two needy models could make both engines of a third give it up in the same look (TestLastTwoReplicas failed before).

Logs: answered and streamed requests name their account and work.

TestTakeover failed before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -131,8 +131,8 @@
 	status := got.write(t.writer)
 	h.metrics.answered.WithLabelValues("whole").Inc()
 	h.metrics.whole.Observe(f.Took.Seconds())
-	h.log.Info("entry: answered", "request", t.request.ID, "status", status, "endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt,
-		"after", (h.Now() - t.arrived).String(), "took", f.Took.String())
+	h.log.Info("entry: answered", "request", t.request.ID, "status", status, "account", t.last.Account, "work", t.request.Describe(),
+		"endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "took", f.Took.String())
 	return true
 }
 
@@ -196,8 +196,8 @@
 	h.finish(t, dispatch.Finished{Number: t.number, Outcome: dispatch.Done, Begun: true}, nil)
 	t.begin(answer)
 	h.metrics.answered.WithLabelValues("stream").Inc()
-	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "endpoint", t.last.Endpoint.ID,
-		"attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume, "estimate", t.last.Wait.String(), "first", t.first.String(),
+	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "account", t.last.Account, "work", t.request.Describe(),
+		"endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume, "estimate", t.last.Wait.String(), "first", t.first.String(),
 		"urgency", t.last.Urgency, "waited", (t.sent - t.arrived).String())
 	return true
 }
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -201,7 +201,7 @@
 	now := h.Now()
 	held := h.holdings[pool]
 	if held == nil {
-		held = &holding{planner: residency.New(now), tickets: map[uint64]chan bool{}, loads: map[string]reported{}}
+		held = &holding{planner: residency.New(now, h.registry.known), tickets: map[uint64]chan bool{}, loads: map[string]reported{}}
 		h.holdings[pool] = held
 	}
 	spec, _ := h.catalog.Load().PoolByName(pool)
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -26,6 +26,7 @@
 type registry struct {
 	rows     map[string]table.Row // removed ones stay, marked
 	revision int64
+	known    time.Duration // when the first registration was learned
 	current  bool          // followed without a gap
 	fed      time.Duration // last answer of a holder that follows the table
 }
@@ -114,6 +115,9 @@
 		}
 	}
 	h.registry.revision = max(h.registry.revision, revision)
+	if h.registry.known == 0 {
+		h.registry.known = h.Now()
+	}
 	if len(fresh) > 0 {
 		h.directory.Apply(h.Now(), h.registrations(fresh))
 		h.tellEndpoints()
--- a/intake/request.go
+++ b/intake/request.go
@@ -60,7 +60,7 @@
 		}
 		return fmt.Sprintf("%s, %d tokens in, %d out", name, w.Prompt, w.Output)
 	case Call:
-		return "call"
+		return fmt.Sprintf("call, %d tokens", w.Tokens)
 	default:
 		return "unknown work"
 	}
--- /dev/null
+++ b/residency/bench_test.go
@@ -0,0 +1,56 @@
+package residency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"magnoliahoist/catalog"
+	"magnoliahoist/directory"
+	"magnoliahoist/residency"
+)
+
+// grown returns a planner of 145 engines and 242 models, the largest pool of the users, with demand for all models and
+// a tenth of them held by no engine.
+func grown() (*residency.Planner, []directory.Endpoint) {
+	const engines, models = 145, 242
+	spec := catalog.Engine{Slots: 64, Weights: weights, Adapters: places, Loads: 20, Models: map[string]catalog.Model{}}
+	demand := map[string]float64{}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		spec.Models[name] = catalog.Model{Name: name, Weights: modelSize, Load: 8 * time.Second, Disk: 2 * time.Second, Warm: time.Second, Adapters: 9, Adapter: 1}
+		demand[name] = float64(9_000 + 40*(models-i))
+	}
+	list := make([]directory.Endpoint, engines)
+	for i := range list {
+		list[i] = directory.Endpoint{ID: fmt.Sprintf("e%03d", i), Pool: "p", Born: 1}
+		for k := range 3 {
+			list[i].Models = append(list[i].Models, directory.Model{Name: fmt.Sprintf("m%d", (3*i+k)%(models*9/10))})
+		}
+	}
+	p := residency.New(0, 0)
+	p.SetPool(catalog.Pool{Name: "p", Engine: &spec})
+	p.SetEndpoints(0, list)
+	for _, e := range p.Reports(20 * time.Second) {
+		r := residency.Report{Asked: 20 * time.Second}
+		for _, m := range e.Models {
+			r.Models = append(r.Models, residency.Model{Name: m.Name, Adapters: m.Adapters})
+		}
+		p.Report(20*time.Second, e.ID, r)
+	}
+	p.AddDemand(20*time.Second, demand)
+	return p, list
+}
+
+// BenchmarkNext measures what a holder does after each order and report of the largest pool.
+func BenchmarkNext(b *testing.B) {
+	p, list := grown()
+	b.ReportAllocs()
+	now := 21 * time.Second
+	for range b.N {
+		now += 100 * time.Millisecond
+		p.SetEndpoints(now, list)
+		p.Reports(now)
+		p.Next(now)
+	}
+}
--- a/residency/place.go
+++ b/residency/place.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -20,26 +21,28 @@
 	return r.demand / engineRate / float64(count)
 }
 
-// modelOrders returns at most one order for a model: it answers demand that has moved to models with too few
-// replicas, and models that nobody holds.
+// modelOrders returns the orders for models: they answer demand that has moved to models with too few replicas, and
+// models that nobody holds.
 func (p *Planner) modelOrders(now time.Duration) []Order {
+	if now-p.placed < placePeriod {
+		return nil
+	}
+	p.placed = now
 	p.decay(now)
 	p.fill(now)
 	p.expire(now)
-	orders := append(p.retire(now), p.complete(now)...)
-	if len(orders) > 0 {
-		return orders
-	}
+	replicas := p.replicas()
+	orders := append(p.retire(now), p.complete(now, replicas)...)
 	if now-p.started < startTime && now-p.grown < settleTime {
-		return nil
+		return orders
 	}
-	replicas := p.replicas()
+	free := p.candidates(now, replicas)
 	for _, model := range p.byNeed(replicas) {
-		if o, due := p.grow(now, model, replicas); due {
-			return []Order{o}
+		if o, due := p.grow(now, model, replicas, free); due {
+			orders = append(orders, o)
 		}
 	}
-	return nil
+	return orders
 }
 
 // fill adds the loads that the weight store allows.
@@ -70,14 +73,20 @@
 	return orders
 }
 
-// complete returns the orders that load the models for which room was made.
-func (p *Planner) complete(now time.Duration) []Order {
-	var orders []Order
+// complete returns the orders that load the models for which room was made, first those that nobody holds.
+func (p *Planner) complete(now time.Duration, replicas map[string]replica) []Order {
+	var ready []*engine
 	for _, id := range p.names {
 		e := p.engines[id]
-		if e.target == "" || e.busy() || !e.synced || now < e.retry || e.Leaving {
-			continue
+		if e.target != "" && !e.busy() && e.synced && now >= e.retry && !e.Leaving {
+			ready = append(ready, e)
 		}
+	}
+	slices.SortStableFunc(ready, func(a, b *engine) int {
+		return cmp.Compare(replicas[a.target].serving, replicas[b.target].serving)
+	})
+	var orders []Order
+	for _, e := range ready {
 		if o, due := p.load(e); due {
 			orders = append(orders, o)
 		}
@@ -173,94 +182,6 @@
 	return names
 }
 
-// move is a way to give a model another replica.
-type move struct {
-	engine *engine
-	victim string // model that must be unloaded first; empty when there is room
-	time   time.Duration
-	runs   bool    // the victim is in use, so that unloading waits for its requests
-	loss   float64 // load of the victim's replicas afterwards
-	load   float64 // of the engine's other models
-}
-
-// grow returns the order that gives a model another replica, if that pays.
-func (p *Planner) grow(now time.Duration, model string, replicas map[string]replica) (Order, bool) {
-	r := replicas[model]
-	best, found := move{}, false
-	for _, id := range p.names {
-		e := p.engines[id]
-		if e.Leaving || e.busy() || !e.synced || now < e.retry || e.models[model] != nil {
-			continue
-		}
-		if e.target != "" {
-			continue
-		}
-		m, possible := p.moveTo(e, model, replicas)
-		if possible && (!found || m.better(best)) {
-			best, found = m, true
-		}
-	}
-	if !found {
-		return Order{}, false
-	}
-	gain := r.load(r.count) - max(r.load(r.count+1), best.loss)
-	if r.count > 0 && gain < leastGain {
-		return Order{}, false
-	}
-	best.engine.target = model
-	if best.victim != "" {
-		best.engine.retiring, best.engine.retired = best.victim, now
-		return Order{}, false
-	}
-	return p.load(best.engine)
-}
-
-// price returns what a move costs, in parts of an engine: the victim's loss, the other work of the engine and the time
-// until the model serves.
-func (m move) price() float64 {
-	price := m.loss + m.load*loadPrice + m.time.Seconds()*timePrice
-	if m.victim != "" {
-		price += retireTime.Seconds() * timePrice
-	}
-	if m.runs {
-		price += drainTime.Seconds() * timePrice
-	}
-	return price
-}
-
-// better prefers the lower price.
-func (m move) better(other move) bool { return m.price() < other.price() }
-
-// moveTo returns how an engine can take a model.
-func (p *Planner) moveTo(e *engine, model string, replicas map[string]replica) (move, bool) {
-	m := move{engine: e, time: p.loadTime(e, model)}
-	room := p.room(e)
-	for name := range e.models {
-		m.load += replicas[name].load(replicas[name].serving)
-	}
-	need := p.spec.Engine.Models[model].Weights
-	if room >= need {
-		return m, true
-	}
-	found := false
-	for name := range e.models {
-		r := replicas[name]
-		spec := p.spec.Engine.Models[name]
-		if r.serving < 2 || room+spec.Weights < need {
-			continue
-		}
-		loss := r.load(r.serving - 1)
-		if !found || loss < m.loss || loss == m.loss && name < m.victim {
-			m.victim, m.loss, found = name, loss, true
-		}
-	}
-	if found {
-		m.load -= replicas[m.victim].load(replicas[m.victim].serving)
-		m.runs = replicas[m.victim].demand > inUse
-	}
-	return m, found
-}
-
 // adapterReserve returns the megabytes kept free for adapters that may come.
 func (p *Planner) adapterReserve(e *engine) float64 {
 	largest := 0.0
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -36,10 +36,15 @@
 	timePrice = 0.2
 	// loadPrice is the weight of an engine's other work.
 	loadPrice = 0.7
-	// settleTime is how long a planner that was started less than startTime ago waits after a new engine appeared before
-	// it loads models, because engines that start together register one after the other.
-	settleTime = 2 * time.Second
-	startTime  = 10 * time.Second
+	// settleTime is how long a planner waits after settleShare of its engines appeared at once before it loads models,
+	// if the registry became known less than startTime ago: engines that start together register one after the other.
+	settleTime  = 2 * time.Second
+	settleShare = 0.1
+	startTime   = 10 * time.Second
+	// placePeriod is the least time between two looks at the models, just below the holder's period, so that it looks at
+	// them each time but not after each order. The search for places takes a millisecond in the largest
+	// pool, and a holder has 0.4 of a core.
+	placePeriod = 90 * time.Millisecond
 	// inUse is the demand above which a model counts as in use, in prompt tokens a second. Unloading it waits for its
 	// requests, about drainTime.
 	inUse     = 400.0
@@ -60,13 +65,14 @@
 	tokens  float64       // loads from the weight store that may begin
 	filled  time.Duration
 	settled []Settled
-	started time.Duration
-	grown   time.Duration // last time at which an engine appeared
+	placed  time.Duration // last look at the models
+	started time.Duration // when the registry became known
+	grown   time.Duration // last time at which many engines had just appeared
 }
 
-// New returns a planner that knows no engine.
-func New(now time.Duration) *Planner {
-	return &Planner{engines: map[string]*engine{}, demand: map[string]float64{}, at: now, filled: now, started: now}
+// New returns a planner that knows no engine. The host has followed the registry since known.
+func New(now, known time.Duration) *Planner {
+	return &Planner{engines: map[string]*engine{}, demand: map[string]float64{}, at: now, filled: now, placed: now - placePeriod, started: known, grown: known}
 }
 
 // SetPool takes the pool's configuration.
@@ -76,19 +82,23 @@
 func (p *Planner) SetEndpoints(now time.Duration, list []directory.Endpoint) {
 	present := make(map[string]bool, len(list))
 	p.names = p.names[:0]
+	appeared := 0
 	for _, d := range list {
 		present[d.ID] = true
 		e := p.engines[d.ID]
 		if e == nil || !e.Same(d) {
 			p.lose(e)
 			e = newEngine(d)
-			p.grown = now
+			appeared++
 			p.engines[d.ID] = e
 			e.adopt(now, modelsOf(d))
 		}
 		p.refresh(now, e, d)
 		p.names = append(p.names, d.ID)
 	}
+	if float64(appeared) > settleShare*float64(len(list)) {
+		p.grown = now
+	}
 	for id, e := range p.engines {
 		if !present[id] {
 			p.lose(e)
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -23,7 +23,7 @@
 }
 
 func newPlay(sims ...*sim) *play {
-	p := &play{planner: residency.New(0), sims: sims, fate: func(residency.Order) (bool, bool) { return false, false }}
+	p := &play{planner: residency.New(0, 0), sims: sims, fate: func(residency.Order) (bool, bool) { return false, false }}
 	p.planner.SetPool(spec())
 	return p
 }
@@ -181,6 +181,43 @@
 	qt.Check(t, p.holders("m1") >= 1, qt.IsTrue)
 }
 
+// TestLastTwoReplicas guards against unloading both replicas of a model at the same moment, each because the other is
+// there.
+func TestLastTwoReplicas(t *testing.T) {
+	p := newPlay(newSim("e1", "m1", "m2", "m3"), newSim("e2", "m1", "m2", "m4"), newSim("e3", "m5", "m6"))
+	demand := map[string]float64{"m1": 100, "m2": 8_000, "m5": 20_000, "m6": 20_000}
+	p.run(13*time.Second, demand)
+	p.sims = p.sims[:2]
+	for range 80 {
+		p.run(100*time.Millisecond, demand)
+		qt.Assert(t, p.holders("m1") >= 1, qt.IsTrue, qt.Commentf("%v: %v", p.now, p.orders))
+	}
+}
+
+// TestTakeover guards against a new holder that waits for engines to register, though the registry has long been
+// known and only some engines are being replaced.
+func TestTakeover(t *testing.T) {
+	sims := []*sim{newSim("e1", "m1", "m2"), newSim("e2", "m3", "m4"), newSim("e3", "m5")}
+	for i := range 12 {
+		sims = append(sims, newSim(fmt.Sprint("f", i), "m1", "m2", "m3"))
+	}
+	p := newPlay(sims...)
+	p.now = 30 * time.Second
+	p.planner = residency.New(p.now, 0)
+	p.planner.SetPool(spec())
+	for range 6 {
+		p.run(500*time.Millisecond, map[string]float64{"m6": 20_000})
+		sims[3].restart()
+	}
+	loads := 0
+	for _, o := range p.orders {
+		if o.Kind == residency.LoadModel && o.Model == "m6" {
+			loads++
+		}
+	}
+	qt.Check(t, loads > 0, qt.IsTrue, qt.Commentf("%v", p.orders))
+}
+
 // TestRetiresFirst guards against unloading a model that hosts have not been told to leave alone.
 func TestRetiresFirst(t *testing.T) {
 	p := newPlay(newSim("e1", "m1", "m2", "m3"), newSim("e2", "m1", "m2", "m3"))
