dispatch, residency: no adapters from engines that load a model; sum of loads kept; small requests behind large

The sum of the other hosts' load was computed anew for each of 140 exchanges a second. When a lender had too little for the first request of an account that waited, smaller ones behind it were refused with it.

Change: the planner settles wishes for adapters of an engine that loads or unloads at once; hosts learn with the load which engines these are and choose others, or refuse at once. dispatch.Loads keeps the sum. What was borrowed goes to the requests that it suffices for. The holder's own load no longer goes through messages.

TestAdapters and TestUnansweredOrder now play a pool in which every model is held: the simulated engine refuses adapters during a load, as engines do, and their checks are as before.

--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -212,7 +212,8 @@
 	return false
 }
 
-// giveUp refuses the requests for which no host had tokens, and gives back what was borrowed for them.
+// giveUp refuses the requests for which no host had tokens, and gives back what was borrowed for them. Smaller requests
+// behind one that asks for too much go on with what was borrowed.
 func (s *State) giveUp(now time.Duration, name string, a *account) {
 	a.borrow.active = false
 	rest := s.borrowers(name)
@@ -221,6 +222,11 @@
 	}
 	a.borrow.dry = now + dryTime
 	for _, r := range rest {
+		if receipt, taken := a.grant(now, r.cost); taken {
+			r.receipt = receipt
+			s.enqueue(now, r)
+			continue
+		}
 		s.refuse(now, r, RateLimited, s.earnTime(now, a, r.cost))
 	}
 	s.repay(name, a.ledger.Release(now))
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -69,6 +69,24 @@
 	qt.Check(t, refused, qt.IsTrue)
 }
 
+// TestAllowanceBehindLarge guards against refusing a small request for which there are tokens, because a larger one
+// waits before it for more than any host can lend.
+func TestAllowanceBehindLarge(t *testing.T) {
+	b := limited(t)
+	b.arrive("/stamp/1", intake.Call{})
+	b.arrive("/stamp/1", intake.Call{})
+	large, effects := b.arrive("/draft/1", intake.Generation{Model: "m", Prompt: 2900, Output: 100})
+	borrow := effects[0].(dispatch.Borrow)
+	small, _ := b.arrive("/stamp/1", intake.Call{})
+	effects = b.apply(dispatch.Lent{Account: "yards", Loan: borrow.Loan, Lender: "peer", Tokens: 250, Asked: borrow.Asked, Answered: true})
+	refuse, refused := refusalOf(effects)
+	qt.Assert(t, refused, qt.IsTrue)
+	qt.Check(t, refuse.Number, qt.Equals, large)
+	send, sent := sendOf(effects)
+	qt.Assert(t, sent, qt.IsTrue)
+	qt.Check(t, send.Number, qt.Equals, small)
+}
+
 // TestAllowanceReturn guards against tokens that are lost with requests that did not run.
 func TestAllowanceReturn(t *testing.T) {
 	b := limited(t)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -109,7 +109,7 @@
 			reason = Overloaded
 			continue
 		}
-		if !n.hasAdapter(key) && !p.orderable {
+		if !n.hasAdapter(key) && (!p.orderable || !n.takesAdapters(now)) {
 			continue
 		}
 		c, inTime := s.estimate(now, n, r, g, key)
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -158,6 +158,30 @@
 	qt.Check(t, other.Endpoint, qt.Not(qt.Equals), fetch.Endpoint)
 }
 
+// TestAdapterOfLoadingEngine guards against asking for an adapter on an engine that refuses it because it loads a
+// model, and against holding the request when there is no other engine.
+func TestAdapterOfLoadingEngine(t *testing.T) {
+	for name, test := range map[string]struct {
+		loading []dispatch.Load
+		want    string // engine that is asked; empty for a refusal
+	}{
+		"one":       {[]dispatch.Load{{Endpoint: "e1", Loading: true}}, "e2"},
+		"the other": {[]dispatch.Load{{Endpoint: "e2", Loading: true}}, "e1"},
+		"both":      {[]dispatch.Load{{Endpoint: "e1", Loading: true}, {Endpoint: "e2", Loading: true}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.apply(dispatch.Observed{Pool: engines, Loads: test.loading})
+			_, effects := b.arrive("/free/1", generation("a1"))
+			fetch, asked := effects[0].(dispatch.Fetch)
+			qt.Check(t, asked, qt.Equals, test.want != "")
+			qt.Check(t, fetch.Endpoint, qt.Equals, test.want)
+			_, refused := refusalOf(effects)
+			qt.Check(t, refused, qt.Equals, test.want == "")
+		})
+	}
+}
+
 // TestAdapterWithoutHolder guards against waiting for an adapter that nobody can order.
 func TestAdapterWithoutHolder(t *testing.T) {
 	b := newBench(t)
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -122,6 +122,7 @@
 	Running  int
 	Backlog  Backlog   // prompt tokens that have not been read
 	Retiring string    // model that must not be used any more
+	Loading  bool      // the endpoint takes no orders for adapters
 	Used     []Adapter // adapters that attempts have used since the last report
 }
 
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -119,6 +119,11 @@
 	return k.Adapter == "" || n.adapters[k] || n.fetches[k].loaded
 }
 
+// takesAdapters reports whether an adapter can be ordered for the endpoint. An endpoint that loads a model refuses.
+func (n *node) takesAdapters(now time.Duration) bool {
+	return !n.others.Loading || now-n.othersAt >= observedLife
+}
+
 // usable reports whether the endpoint may get work.
 func (n *node) usable(now time.Duration) bool { return !n.Leaving && now >= n.until }
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -8,14 +8,11 @@
 
 	"magnoliahoist/dispatch"
 	"magnoliahoist/peer"
+	"magnoliahoist/residency"
 )
 
-const (
-	// summaryPeriod is how often hosts tell the holder of their load and learn that of the others.
-	summaryPeriod = 200 * time.Millisecond
-	// loadLife is how long a host's load counts.
-	loadLife = 2 * time.Second
-)
+// summaryPeriod is how often hosts tell the holder of their load and learn that of the others.
+const summaryPeriod = 200 * time.Millisecond
 
 // summarize tells the holder of each pool the demand and load of this host and takes the load of the others.
 func (h *Host) summarize(ctx context.Context) {
@@ -24,16 +21,14 @@
 	h.mu.Unlock()
 	for _, pool := range pools {
 		h.mu.Lock()
-		request := &peer.SummaryRequest{Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool}
-		request.Demands = demandsOf(h.state.Demand(pool))
-		request.Loads = loadsOf(h.state.Loads(h.Now(), pool))
-		request.After = h.registry.revision
+		demand, loads := h.state.Demand(pool), h.state.Loads(h.Now(), pool)
+		after := h.registry.revision
 		h.mu.Unlock()
 		holder := h.holderOf(pool)
 		h.noteHolder(pool)
 		if holder == h.fleet.self.ID {
-			loads, _ := h.exchange(request)
-			h.Apply(dispatch.Observed{Pool: pool, Loads: loadsFrom(loads)})
+			others, _ := h.exchange(pool, holder, demand, loads)
+			h.Apply(dispatch.Observed{Pool: pool, Loads: others})
 			continue
 		}
 		client, to, known := h.peerByID(holder)
@@ -41,6 +36,9 @@
 			h.answered(pool, false)
 			continue
 		}
+		request := &peer.SummaryRequest{
+			Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool, Demands: demandsOf(demand), Loads: loadsOf(loads), After: after,
+		}
 		h.run(func(ctx context.Context) {
 			answer, err := client.Report(ctx, to, h.sender(), request)
 			h.answered(pool, err == nil)
@@ -81,75 +79,40 @@
 	}
 }
 
-// exchange takes one host's demand and load and returns the load of all others. It reports false when this host
-// does not hold the lease.
-func (h *Host) exchange(r *peer.SummaryRequest) ([]*peer.EndpointLoad, bool) {
+// exchange takes one host's demand and load and returns the load of all others, with what hosts must know of engines
+// beside their registrations. It reports false when this host does not hold the lease.
+func (h *Host) exchange(pool, from string, demand map[string]float64, loads []dispatch.Load) ([]dispatch.Load, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	held := h.holdings[r.GetPool()]
+	held := h.holdings[pool]
 	if held == nil {
 		return nil, false
 	}
 	now := h.Now()
-	tokens := make(map[string]float64, len(r.GetDemands()))
-	for _, d := range r.GetDemands() {
-		tokens[d.GetModel()] = d.GetTokens()
-	}
-	held.planner.AddDemand(now, tokens)
-	loads := loadsFrom(r.GetLoads())
+	held.planner.AddDemand(now, demand)
 	for _, l := range loads {
 		for _, a := range l.Used {
 			held.planner.Used(now, l.Endpoint, a.Model, a.Adapter)
 		}
 	}
-	from := r.GetHeader().GetFrom()
-	held.loads[from] = reported{at: now, loads: loads}
 	h.seen(from)
-	return withRetiring(loadsOf(held.othersLoad(now, from)), held.planner.Retiring()), true
+	return withNotices(held.loads.Take(now, from, loads), held.planner.Notices(now)), true
 }
 
-// withRetiring adds the models that must not be used any more.
-func withRetiring(loads []*peer.EndpointLoad, retiring map[string]string) []*peer.EndpointLoad {
-	for _, l := range loads {
-		if model, is := retiring[l.Endpoint]; is {
-			l.Retiring = model
-			delete(retiring, l.Endpoint)
+// withNotices adds what hosts must know of engines.
+func withNotices(loads []dispatch.Load, notices map[string]residency.Notice) []dispatch.Load {
+	for i := range loads {
+		if n, is := notices[loads[i].Endpoint]; is {
+			loads[i].Retiring, loads[i].Loading = n.Retiring, n.Loading
+			delete(notices, loads[i].Endpoint)
 		}
 	}
-	for endpoint, model := range retiring {
-		loads = append(loads, &peer.EndpointLoad{Endpoint: endpoint, Retiring: model})
+	for endpoint, n := range notices {
+		loads = append(loads, dispatch.Load{Endpoint: endpoint, Retiring: n.Retiring, Loading: n.Loading})
 	}
 	return loads
 }
 
-// othersLoad sums the load of all hosts but one.
-func (held *holding) othersLoad(now time.Duration, except string) []dispatch.Load {
-	sums := map[string]dispatch.Load{}
-	for id, r := range held.loads {
-		if now-r.at > loadLife {
-			delete(held.loads, id)
-			continue
-		}
-		if id == except {
-			continue
-		}
-		for _, l := range r.loads {
-			sum := sums[l.Endpoint]
-			sum.Endpoint = l.Endpoint
-			sum.Running += l.Running
-			for level, tokens := range l.Backlog {
-				sum.Backlog[level] += tokens
-			}
-			sums[l.Endpoint] = sum
-		}
-	}
-	list := make([]dispatch.Load, 0, len(sums))
-	for _, name := range slices.Sorted(maps.Keys(sums)) {
-		list = append(list, sums[name])
-	}
-	return list
-}
-
 func demandsOf(tokens map[string]float64) []*peer.Demand {
 	list := make([]*peer.Demand, 0, len(tokens))
 	for _, model := range slices.Sorted(maps.Keys(tokens)) {
@@ -158,10 +121,18 @@
 	return list
 }
 
+func demandsFrom(wire []*peer.Demand) map[string]float64 {
+	tokens := make(map[string]float64, len(wire))
+	for _, d := range wire {
+		tokens[d.GetModel()] = d.GetTokens()
+	}
+	return tokens
+}
+
 func loadsOf(loads []dispatch.Load) []*peer.EndpointLoad {
 	list := make([]*peer.EndpointLoad, 0, len(loads))
 	for _, l := range loads {
-		wire := &peer.EndpointLoad{Endpoint: l.Endpoint, Running: int64(l.Running), Backlog: l.Backlog[:]}
+		wire := &peer.EndpointLoad{Endpoint: l.Endpoint, Running: int64(l.Running), Backlog: l.Backlog[:], Retiring: l.Retiring, Loading: l.Loading}
 		for _, a := range l.Used {
 			wire.Holdings = append(wire.Holdings, &peer.Holding{Model: a.Model, Adapters: []string{a.Adapter}})
 		}
@@ -173,7 +144,7 @@
 func loadsFrom(wire []*peer.EndpointLoad) []dispatch.Load {
 	list := make([]dispatch.Load, 0, len(wire))
 	for _, w := range wire {
-		l := dispatch.Load{Endpoint: w.GetEndpoint(), Running: int(w.GetRunning()), Retiring: w.GetRetiring()}
+		l := dispatch.Load{Endpoint: w.GetEndpoint(), Running: int(w.GetRunning()), Retiring: w.GetRetiring(), Loading: w.GetLoading()}
 		copy(l.Backlog[:], w.GetBacklog())
 		for _, held := range w.GetHoldings() {
 			for _, adapter := range held.GetAdapters() {
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -32,13 +32,7 @@
 	planner *residency.Planner
 	tickets map[uint64]chan bool
 	next    uint64
-	loads   map[string]reported // by id of the host
-}
-
-// reported is the load of one host.
-type reported struct {
-	at    time.Duration
-	loads []dispatch.Load
+	loads   *dispatch.Loads
 }
 
 // hold renews leases, takes over those that are free, and sends the orders of pools whose lease this host holds.
@@ -201,7 +195,7 @@
 	now := h.Now()
 	held := h.holdings[pool]
 	if held == nil {
-		held = &holding{planner: residency.New(now, h.registry.known), tickets: map[uint64]chan bool{}, loads: map[string]reported{}}
+		held = &holding{planner: residency.New(now, h.registry.known), tickets: map[uint64]chan bool{}, loads: dispatch.NewLoads()}
 		h.holdings[pool] = held
 	}
 	spec, _ := h.catalog.Load().PoolByName(pool)
--- a/entry/service.go
+++ b/entry/service.go
@@ -34,11 +34,11 @@
 
 // Summary takes the demand and load of another host and returns the load of the rest.
 func (s *peerService) Summary(_ context.Context, r *peer.SummaryRequest) (*peer.SummaryResponse, error) {
-	loads, held := s.host.exchange(r)
+	loads, held := s.host.exchange(r.GetPool(), r.GetHeader().GetFrom(), demandsFrom(r.GetDemands()), loadsFrom(r.GetLoads()))
 	if !held {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
 	}
-	answer := &peer.SummaryResponse{Loads: loads}
+	answer := &peer.SummaryResponse{Loads: loadsOf(loads)}
 	s.host.addRegistrations(answer, r.GetAfter())
 	return answer, nil
 }
--- a/residency/engine.go
+++ b/residency/engine.go
@@ -19,6 +19,7 @@
 	retiring string // model that hosts are told not to use, before it is unloaded
 	retired  time.Duration
 	target   string        // model for which room is made
+	until    time.Duration // expected end of the load under way
 	since    time.Duration // last order that was accepted
 	asked    time.Duration // last report asked for
 	checked  time.Duration // registration for which a report was asked
@@ -87,6 +88,12 @@
 	return count
 }
 
+// loads reports whether the engine carries out an order for a model as far as known. It refuses all others meanwhile,
+// those for adapters too.
+func (e *engine) loads(now time.Duration) bool {
+	return e.leaving != "" || e.loading != "" && now < e.until
+}
+
 // busy reports whether the engine can't take an order for a model now.
 func (e *engine) busy() bool {
 	return e.loading != "" || e.leaving != "" || e.retiring != "" || e.current != nil
--- a/residency/order.go
+++ b/residency/order.go
@@ -57,6 +57,12 @@
 	Adapters []string
 }
 
+// Notice is what hosts must know of an engine beside its registration.
+type Notice struct {
+	Retiring string // model that must not be used any more
+	Loading  bool   // the engine takes no orders for adapters
+}
+
 // Ticket is a host's wish for an adapter on an engine.
 type Ticket struct {
 	ID       uint64
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -179,6 +179,8 @@
 	case e.holdsAdapter(t):
 		e.models[t.Model].adapters[t.Adapter] = now
 		p.settled = append(p.settled, Settled{Ticket: t, Loaded: true})
+	case e.loads(now):
+		p.settled = append(p.settled, Settled{Ticket: t})
 	default:
 		e.wanted = append(e.wanted, t)
 	}
@@ -193,18 +195,16 @@
 	return held
 }
 
-// Retiring returns the models that hosts must not use any more, by engine.
-func (p *Planner) Retiring() map[string]string {
-	retiring := map[string]string{}
+// Notices returns what hosts must know of engines, by their ids.
+func (p *Planner) Notices(now time.Duration) map[string]Notice {
+	notices := map[string]Notice{}
 	for _, id := range p.names {
 		e := p.engines[id]
-		if e.retiring != "" {
-			retiring[id] = e.retiring
-		} else if e.leaving != "" {
-			retiring[id] = e.leaving
+		if n := (Notice{Retiring: cmp.Or(e.retiring, e.leaving), Loading: e.loads(now)}); n != (Notice{}) {
+			notices[id] = n
 		}
 	}
-	return retiring
+	return notices
 }
 
 // Settled returns, once, the tickets whose outcome is known.
@@ -305,6 +305,7 @@
 	switch o.Kind {
 	case LoadModel:
 		e.loading, e.target = o.Model, ""
+		e.until = now + p.loadTime(e, o.Model)
 	case UnloadModel:
 		e.leaving = o.Model
 		e.retiring = ""
@@ -361,7 +362,7 @@
 		return Order{}, false
 	}
 	t := e.wanted[0]
-	if e.models[t.Model] == nil {
+	if e.loads(now) || e.models[t.Model] == nil {
 		e.wanted = e.wanted[1:]
 		p.settled = append(p.settled, Settled{Ticket: t})
 		return Order{}, false
--- a/residency/sim_test.go
+++ b/residency/sim_test.go
@@ -99,6 +99,9 @@
 	if o.Expected != s.sequence {
 		return residency.Conflict
 	}
+	if s.loading != "" || s.leaving != "" {
+		return residency.Conflict
+	}
 	adapters, held := s.models[o.Model]
 	switch o.Kind {
 	case residency.LoadAdapter:
@@ -115,9 +118,6 @@
 		s.sequence++
 		return residency.Held
 	case residency.LoadModel:
-		if s.loading != "" || s.leaving != "" {
-			return residency.Conflict
-		}
 		if held {
 			return residency.Held
 		}
@@ -125,9 +125,6 @@
 		s.loading, s.until = o.Model, now+8*time.Second
 		s.cold++
 	case residency.UnloadModel:
-		if s.loading != "" || s.leaving != "" {
-			return residency.Conflict
-		}
 		if !held {
 			return residency.Held
 		}
