entry: cut streams into events in one tested place; never begin a stream without ids anew

Cause: the id to resume after was looked for in the last text 'id:' of what had come; when that stood within the data of an event ('paid: 4'), the id was not taken, and a resumed stream would repeat events. A stream whose events bear no ids was begun anew at another engine after part of it had been handed over.

A broken stream that can't be resumed is broken off towards the caller.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -166,9 +165,7 @@
 				h.Apply(dispatch.Left{Number: t.number})
 				return true
 			}
-			if events.last != "" {
-				t.resume = events.last
-			}
+			t.resume = events.last
 		}
 		if err == nil {
 			continue
@@ -202,7 +199,8 @@
 	return true
 }
 
-// broken ends an attempt whose stream broke off. Another endpoint may go on where the route allows it.
+// broken ends an attempt whose stream broke off. Another endpoint may go on where the route allows it, but not when
+// events without an id were handed over: it would begin anew, and the pieces of two runs would be joined.
 func (h *Host) broken(parent, ctx context.Context, t *task, err error) bool {
 	if parent.Err() != nil {
 		h.end(parent, t)
@@ -212,45 +210,11 @@
 	if errors.Is(context.Cause(ctx), errSilent) {
 		outcome = dispatch.Silent
 	}
+	if t.begun && t.resume == "" {
+		h.finish(t, dispatch.Finished{Number: t.number, Outcome: outcome, Begun: true}, err)
+		h.refuse(t, dispatch.Refuse{Number: t.number, Account: t.last.Account, Route: t.last.Route.Name, Reason: dispatch.Broken, Ran: dispatch.RanUnknown})
+		return true
+	}
 	h.finish(t, dispatch.Finished{Number: t.number, Outcome: outcome}, err)
 	return false
 }
-
-// eventBuffer cuts the bytes of a stream into whole events.
-type eventBuffer struct {
-	pending []byte
-	last    string // id of the last whole event
-}
-
-// empty reports whether no part of an event is pending.
-func (b *eventBuffer) empty() bool { return len(b.pending) == 0 }
-
-// add takes bytes and returns those up to the end of the last whole event, valid until the next call.
-func (b *eventBuffer) add(data []byte) []byte {
-	if len(data) == 0 {
-		return nil
-	}
-	all := data
-	if len(b.pending) > 0 {
-		all = append(b.pending, data...)
-	}
-	end := strings.LastIndex(string(all), "\n\n")
-	if end < 0 {
-		b.pending = append([]byte(nil), all...)
-		return nil
-	}
-	whole := all[:end+2]
-	b.pending = append([]byte(nil), all[end+2:]...)
-	b.note(whole)
-	return whole
-}
-
-// note remembers the id of the last event.
-func (b *eventBuffer) note(whole []byte) {
-	at := strings.LastIndex(string(whole), "id:")
-	if at < 0 || at > 0 && whole[at-1] != '\n' {
-		return
-	}
-	line, _, _ := strings.Cut(string(whole[at+len("id:"):]), "\n")
-	b.last = strings.TrimSpace(line)
-}
--- /dev/null
+++ b/entry/attempt_test.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahoist/catalog"
+	"magnoliahoist/config"
+	"magnoliahoist/directory"
+	"magnoliahoist/dispatch"
+	"magnoliahoist/document"
+	"magnoliahoist/platform/fakeplatform"
+)
+
+// script is an endpoint that sends the same bytes for every request and then closes the connection.
+type script struct {
+	address string
+	send    func(request *http.Request) string
+
+	mu       sync.Mutex
+	requests []*http.Request
+}
+
+func newScript(t *testing.T, send func(*http.Request) string) *script {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	s := &script{address: listener.Addr().String(), send: send}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.answer(conn)
+		}
+	}()
+	return s
+}
+
+func (s *script) answer(conn net.Conn) {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.requests = append(s.requests, request)
+	s.mu.Unlock()
+	io.WriteString(conn, s.send(request))
+}
+
+func (s *script) seen() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// newHost returns a host that serves streams on two engines, without a store and without other hosts.
+func newHost(t *testing.T, engines ...*script) *httptest.Server {
+	h := New(config.Entry{Name: "self", Domain: "near", Retries: config.Retries{Share: 0.2, Floor: 10, Window: document.Duration(10 * time.Second)}}, hclog.NewNullLogger())
+	shares := []catalog.Share{{Pool: "p", Weight: 1}}
+	h.Apply(dispatch.Configured{Catalog: catalog.New(catalog.Document{
+		Version: 1,
+		Routes: []catalog.Route{
+			{Name: "once", Host: "h", Prefix: "/once/", Open: true, Stream: true, Repeat: catalog.Once, Attempts: 2, Goal: time.Second, Timeout: 5 * time.Second, Shares: shares},
+			{Name: "free", Host: "h", Prefix: "/free/", Open: true, Stream: true, Resume: true, Repeat: catalog.Once, Attempts: 2, Goal: time.Second, Timeout: 5 * time.Second, Shares: shares},
+		},
+		Pools: []catalog.Pool{{Name: "p", Engine: &catalog.Engine{Slots: 8, Models: map[string]catalog.Model{"m": {Name: "m"}}}}},
+	})})
+	h.Apply(dispatch.Joined{Members: []dispatch.Member{{Name: "self", ID: "1"}}})
+	var list []directory.Endpoint
+	for n, e := range engines {
+		list = append(list, directory.Endpoint{ID: fmt.Sprint("e", n), Pool: "p", Address: e.address, Domain: "near", Slots: 8, Models: []directory.Model{{Name: "m"}}})
+	}
+	h.Apply(dispatch.Registered{Endpoints: list})
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// head is the start of a stream that bears the endpoint's signature.
+func head(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Stamp: stamp\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") +
+		"\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// TestBrokenStream guards against a failure that bears an endpoint's signature, against a stream that is broken off
+// and looks complete, and against joining the pieces of two runs.
+func TestBrokenStream(t *testing.T) {
+	for name, test := range map[string]struct {
+		path   string
+		send   func(r *http.Request) string
+		status int
+		runs   int
+		resume string // of the last run
+		body   string
+	}{
+		"before an event":            {"/once/1", head, http.StatusBadGateway, 1, "", ""},
+		"before an event, resumable": {"/free/1", head, http.StatusBadGateway, 2, "", ""},
+		"within an event": {"/once/1", func(r *http.Request) string { return head(r) + chunk("id: 1\ndata: a\n\nid: 2\nda") },
+			http.StatusOK, 1, "", "id: 1\ndata: a\n\n"},
+		"resumed": {"/free/1", func(r *http.Request) string {
+			if r.Header.Get("Last-Event-Id") == "1" {
+				return head(r) + chunk("id: 2\ndata: b\n\n")
+			}
+			return head(r) + chunk("id: 1\ndata: a\n\nid: 2\nda")
+		}, http.StatusOK, 2, "1", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		"without ids": {"/free/1", func(r *http.Request) string { return head(r) + chunk("data: a\n\nda") }, http.StatusOK, 1, "", "data: a\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			engines := []*script{newScript(t, test.send), newScript(t, test.send)}
+			host := newHost(t, engines...)
+			request, err := fakeplatform.Request{ID: "r1", Host: "h", Path: test.path, Model: "m", Tokens: "100,10", Patience: 5 * time.Second}.HTTP(host.Listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			answer, err := http.DefaultClient.Do(request)
+			qt.Assert(t, err, qt.IsNil)
+			defer answer.Body.Close()
+			body, err := io.ReadAll(answer.Body)
+			qt.Check(t, answer.StatusCode, qt.Equals, test.status)
+			seen := append(engines[0].seen(), engines[1].seen()...)
+			qt.Check(t, len(seen), qt.Equals, test.runs)
+			if test.status != http.StatusOK {
+				qt.Check(t, fakeplatform.Signed(answer.Header), qt.IsFalse)
+				return
+			}
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("the stream looks complete"))
+			qt.Check(t, string(body), qt.Equals, test.body)
+			resumed := ""
+			for _, r := range seen {
+				resumed += r.Header.Get("Last-Event-Id")
+			}
+			qt.Check(t, resumed, qt.Equals, test.resume)
+		})
+	}
+}
