entry: the holder of a lease tells the other hosts of members too

Cause: each change of the members cost a call of every host.

Change: tableCopy, until now the registrations' own code, serves both tables; the exchange of load carries the rows of both that a host lacks. Hosts without a holder follow the table themselves, and changes gather for 0.2 s.

Test: TestCopyOfTable plays gaps, late answers and doubled sources.

--- /dev/null
+++ b/entry/copy_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"magnoliahoist/table"
+)
+
+// TestCopyOfTable plays a table that changes, hosts that follow it or are told by each other, feeds with gaps and
+// answers that come late. It guards against a host that misses a change, or goes back to an older row.
+func TestCopyOfTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth, history := map[string]int64{}, []table.Row(nil)
+		revision := int64(1)
+		holder, host := newTableCopy(), newTableCopy()
+		seen := map[string]int64{}
+		learn := func(rows []table.Row) {
+			for _, row := range rows {
+				if row.Revision <= seen[row.Key] {
+					t.Fatalf("row %s goes back from %d to %d", row.Key, seen[row.Key], row.Revision)
+				}
+				seen[row.Key] = row.Revision
+			}
+		}
+		whole := func() []table.Row {
+			var rows []table.Row
+			for key, at := range truth {
+				rows = append(rows, table.Row{Key: key, Revision: at})
+			}
+			return rows
+		}
+		after := func(revision int64) []table.Row {
+			var rows []table.Row
+			for _, row := range history {
+				if row.Revision > revision {
+					rows = append(rows, row)
+				}
+			}
+			return rows
+		}
+		holder.replace(whole(), revision)
+		learn(host.replace(whole(), revision))
+		holder.current = true
+		asked := host.revision
+		for n := range rapid.IntRange(1, 40).Draw(t, "turns") {
+			switch rapid.IntRange(0, 6).Draw(t, "turn") {
+			case 0, 1:
+				revision++
+				key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
+				_, present := truth[key]
+				removed := present && rapid.Bool().Draw(t, "removed")
+				if truth[key] = revision; removed {
+					delete(truth, key)
+				}
+				history = append(history, table.Row{Key: key, Revision: revision, Deleted: removed})
+			case 2:
+				holder.take(after(holder.revision), revision)
+			case 3:
+				learn(host.take(after(host.revision), revision))
+			case 4:
+				learn(host.replace(whole(), revision))
+			case 5:
+				asked = host.revision
+			case 6:
+				host.told(time.Duration(n), asked, holder.tell(asked), learn)
+			}
+		}
+		holder.take(after(holder.revision), revision)
+		if !host.told(time.Minute, host.revision, holder.tell(host.revision), learn) {
+			t.Fatalf("the host is not told")
+		}
+		got := map[string]int64{}
+		for key, row := range host.rows {
+			if !row.Deleted {
+				got[key] = row.Revision
+			}
+		}
+		if !maps.Equal(got, truth) {
+			t.Fatalf("the host knows %v of %v", got, truth)
+		}
+	})
+}
+
+// TestCopyNotCurrent guards against a holder that tells of a table with a gap, and against telling a host that knows
+// nothing: it would never read the rows that are older than the holder's changes.
+func TestCopyNotCurrent(t *testing.T) {
+	holder := newTableCopy()
+	holder.take([]table.Row{{Key: "k", Revision: 5}}, 5)
+	qt.Check(t, holder.tell(3), qt.IsNil)
+	holder.current = true
+	qt.Check(t, holder.tell(0), qt.IsNil)
+	qt.Check(t, holder.tell(3).GetRows(), qt.HasLen, 1)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,7 +77,7 @@
 		start:     sinceBoot(),
 		log:       log.Named("entry"),
 		directory: directory.New(),
-		registry:  newRegistry(),
+		registry:  registry{tableCopy: newTableCopy()},
 		waiting:   map[uint64]chan dispatch.Effect{},
 		holdings:  map[string]*holding{},
 		orderable: map[string]bool{},
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -22,7 +22,7 @@
 	for _, pool := range pools {
 		h.mu.Lock()
 		demand, loads := h.state.Demand(pool), h.state.Loads(h.Now(), pool)
-		after := h.registry.revision
+		endpointsAfter, membersAfter := h.registry.revision, h.fleet.rows.revision
 		h.mu.Unlock()
 		holder := h.holderOf(pool)
 		h.noteHolder(pool)
@@ -37,7 +37,8 @@
 			continue
 		}
 		request := &peer.SummaryRequest{
-			Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool, Demands: demandsOf(demand), Loads: loadsOf(loads), After: after,
+			Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool, Demands: demandsOf(demand), Loads: loadsOf(loads),
+			EndpointsAfter: endpointsAfter, MembersAfter: membersAfter,
 		}
 		h.run(func(ctx context.Context) {
 			answer, err := client.Report(ctx, to, h.sender(), request)
@@ -46,12 +47,22 @@
 				h.log.Debug("entry: unable to exchange load", "pool", pool, "holder", holder, "error", err)
 				return
 			}
-			h.takeRegistrations(request.GetAfter(), answer)
+			h.takeChanges(request, answer)
 			h.Apply(dispatch.Observed{Pool: pool, Loads: loadsFrom(answer.GetLoads())})
 		})
 	}
 }
 
+// takeChanges takes what the holder tells of endpoints and hosts.
+func (h *Host) takeChanges(request *peer.SummaryRequest, answer *peer.SummaryResponse) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.registry.told(h.Now(), request.GetEndpointsAfter(), answer.GetEndpoints(), h.learnEndpoints) {
+		h.directory.Regain(h.Now())
+	}
+	h.fleet.rows.told(h.Now(), request.GetMembersAfter(), answer.GetMembers(), h.learn)
+}
+
 // noteHolder tells the reducer whether adapters can be ordered for a pool.
 func (h *Host) noteHolder(pool string) {
 	h.mu.Lock()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -33,6 +33,8 @@
 	secretBytes = 24
 	// writeRetry is the wait before a write of the host's own row is tried again.
 	writeRetry = 500 * time.Millisecond
+	// memberRest is how long changes of the members gather where no holder tells of them.
+	memberRest = 200 * time.Millisecond
 	// peerIdle is how long an unused connection to another host is kept.
 	peerIdle = time.Minute
 )
@@ -54,6 +56,7 @@
 	missed    map[string]time.Duration // since when the holder of a pool's lease has not answered
 	looked    time.Duration            // last read of the leases
 	read      bool                     // the table has been read whole
+	rows      tableCopy
 	secret    string
 	server    http.Handler // for other hosts; nil until the secret is known
 	client    *peer.Client
@@ -68,6 +71,7 @@
 		terms:     map[string]*lease.Term{},
 		missed:    map[string]time.Duration{},
 		looked:    -leaseLook,
+		rows:      newTableCopy(),
 	}
 }
 
@@ -77,28 +81,14 @@
 	return hex.EncodeToString(random)
 }
 
-// followFleet follows the rows of the hosts.
+// followFleet follows the rows of the hosts while no holder tells them.
 func (h *Host) followFleet() error {
-	return h.follow(follower{
-		name: fleetTable,
-		wait: feedWait,
-		replace: func(rows []table.Row, _ int64) {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			clear(h.fleet.members)
-			h.fleet.read = true
-			h.learn(rows)
-		},
-		change: func(rows []table.Row, _ int64) {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			h.learn(rows)
-		},
-	})
+	return h.follow(h.copied(fleetTable, &h.fleet.rows, func() time.Duration { return memberRest }, h.learn))
 }
 
 // learn takes rows of the hosts. The caller holds the lock.
 func (h *Host) learn(rows []table.Row) {
+	h.fleet.read = true
 	for _, row := range rows {
 		switch {
 		case strings.HasPrefix(row.Key, memberPrefix):
--- a/entry/service.go
+++ b/entry/service.go
@@ -38,9 +38,13 @@
 	if !held {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
 	}
-	answer := &peer.SummaryResponse{Loads: loadsOf(loads)}
-	s.host.addRegistrations(answer, r.GetAfter())
-	return answer, nil
+	s.host.mu.Lock()
+	defer s.host.mu.Unlock()
+	return &peer.SummaryResponse{
+		Loads:     loadsOf(loads),
+		Endpoints: s.host.registry.tell(r.GetEndpointsAfter()),
+		Members:   s.host.fleet.rows.tell(r.GetMembersAfter()),
+	}, nil
 }
 
 // Fetch loads an adapter on an endpoint.
