--- a/config/entry.go
+++ b/config/entry.go
@@ -16,7 +16,6 @@
 	defaultGrace       = 8 * time.Second
 	defaultLease       = 3 * time.Second
 	defaultRetryWindow = 10 * time.Second
-	defaultLoadWindow  = 5 * time.Second
 	defaultTrust       = 10 * time.Second // within seconds, and above the pauses of a store that is slow
 )
 
@@ -30,15 +29,14 @@
 	Callers   string            `json:"callers"`   // listener, IP number and port
 	Ready     string            `json:"ready"`     // listener of the balancer's check
 	Peers     string            `json:"peers"`     // listener for other hosts
+	Reachable string            `json:"reachable"` // address of it that other hosts use, where it is not the listener's own
 	Operators string            `json:"operators"` // listener for metrics and status
 	Store     string            `json:"store"`     // address of the platform's store
 	Memory    int64             `json:"memory"`    // megabytes that the process may use
-	Files     int               `json:"files"`     // descriptors that the process may use
 	Grace     document.Duration `json:"grace"`     // between SIGTERM and the end of the process
 	Lease     document.Duration `json:"lease"`     // least time between orders of two hosts
 	Trust     document.Duration `json:"trust"`     // without contact, after which keys are no longer relied on
 	Retries   Retries           `json:"retries"`
-	Loads     Loads             `json:"loads"`
 	Log       Log               `json:"log"`
 }
 
@@ -49,22 +47,14 @@
 	Window document.Duration `json:"window"`
 }
 
-// Loads bounds the loads from the weight store over all endpoints.
-type Loads struct {
-	Window document.Duration `json:"window"`
-	Excess float64           `json:"excess"` // factor on the rate that the configuration states
-}
-
 // DefaultEntry returns the settings that a file may leave out.
 func DefaultEntry() Entry {
 	return Entry{
 		Memory:  256,
-		Files:   1024,
 		Grace:   document.Duration(defaultGrace),
 		Lease:   document.Duration(defaultLease),
 		Trust:   document.Duration(defaultTrust),
 		Retries: Retries{Share: 0.2, Floor: 10, Window: document.Duration(defaultRetryWindow)},
-		Loads:   Loads{Window: document.Duration(defaultLoadWindow), Excess: 1},
 		Log:     Log{Level: "info", Format: "json"},
 	}
 }
@@ -121,16 +111,17 @@
 		c.Require(used[address] == "", l.path, l.address, "an address other than that of "+used[address])
 		used[address] = l.path
 	}
+	if e.Reachable != "" {
+		_, err := netip.ParseAddrPort(e.Reachable)
+		c.Require(err == nil, "reachable", e.Reachable, "an IP number with a port")
+	}
 	c.Require(e.Memory >= 32 && e.Memory <= 1<<20, "memory", e.Memory, "32 to 1048576 megabytes")
-	c.Require(e.Files >= 64, "files", e.Files, "64 or more")
 	c.Require(e.Grace > 0, "grace", e.Grace, e.Grace.Allowed())
 	c.Require(e.Lease > 0, "lease", e.Lease, e.Lease.Allowed())
 	c.Require(e.Trust >= document.Duration(minTrust), "trust", e.Trust, "a duration of 6s or more")
 	c.Require(e.Retries.Share >= 0 && e.Retries.Share <= 1, "retries.share", e.Retries.Share, "0 to 1")
 	c.Require(e.Retries.Floor >= 0, "retries.floor", e.Retries.Floor, "0 or more")
 	c.Require(e.Retries.Window > 0, "retries.window", e.Retries.Window, e.Retries.Window.Allowed())
-	c.Require(e.Loads.Window > 0, "loads.window", e.Loads.Window, e.Loads.Window.Allowed())
-	c.Require(e.Loads.Excess > 0, "loads.excess", e.Loads.Excess, "a factor above 0")
 	c.Require(validLevel(e.Log.Level), "log.level", e.Log.Level, "trace, debug, info, warn or error")
 	c.Require(e.Log.Format == "text" || e.Log.Format == "json", "log.format", e.Log.Format, "text or json")
 	return c.Err()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -97,7 +98,7 @@
 	}
 	h.stop.began = make(chan struct{})
 	h.engines = platform.NewEngines(h.connections, settings.Name)
-	h.fleet = newFleet(settings.Peers, settings.Domain)
+	h.fleet = newFleet(cmp.Or(settings.Reachable, settings.Peers), settings.Domain)
 	h.store = &access{store: platform.NewStore(settings.Store), peers: h.targets, self: h.sender(), now: h.Now}
 	h.metrics = newMetrics(h)
 	h.store.count = func(way string, err error) { h.metrics.store.WithLabelValues(way, resultOf(err)).Inc() }
