entry: the first call after the loss of the store does not wait

At 21.7 s the feeds failed, and the next call for changes, which waits 5 s and was given 2 s more, hung on another connection that had died with the store until 28.8 s, though the store had been back for six seconds.

Tests: TestFollowAfterLoss and TestProbeTimeout; both fail on the code before.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -60,7 +60,11 @@
 			revision = f.revision()
 			continue
 		}
-		snapshot, err := h.changes(ctx, f, revision, whole)
+		wait := f.wait
+		if away {
+			wait = 0 // a call that waits would hang on a connection that died with the store
+		}
+		snapshot, err := h.changes(ctx, f, revision, whole, wait)
 		select {
 		case <-h.tomb.Dying():
 			return nil
@@ -115,11 +119,11 @@
 	}
 }
 
-func (h *Host) changes(ctx context.Context, f follower, revision int64, whole bool) (table.Snapshot, error) {
+func (h *Host) changes(ctx context.Context, f follower, revision int64, whole bool, wait time.Duration) (table.Snapshot, error) {
 	if whole {
 		return h.store.ReadAll(ctx, f.name)
 	}
-	return h.store.Follow(ctx, f.name, revision, f.wait)
+	return h.store.Follow(ctx, f.name, revision, wait)
 }
 
 // sleep waits, but not beyond the host's end.
--- /dev/null
+++ b/entry/follow_test.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahoist/config"
+	"magnoliahoist/platform"
+	"magnoliahoist/table"
+)
+
+// TestFollowAfterLoss guards against a host that learns of changes late because its first call after a loss waits at
+// the store: on a connection that died with the store it would wait in vain.
+func TestFollowAfterLoss(t *testing.T) {
+	waits := make(chan string, 100)
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if wait := r.URL.Query().Get("wait_ms"); wait != "" {
+			waits <- wait
+			if calls++; calls == 2 || calls == 3 { // the library repeats a call whose connection it had used before
+				panic(http.ErrAbortHandler)
+			}
+		}
+		fmt.Fprintf(w, `{"ver":%d,"now_ms":%d,"rows":[{"table":"t","key":"k","ver":%d}]}`, calls+1, calls+1, calls+1)
+	}))
+	defer server.Close()
+	h := New(config.Entry{Name: "self", Domain: "near", Store: strings.TrimPrefix(server.URL, "http://")}, hclog.NewNullLogger())
+	confirmed := make(chan time.Duration, 100)
+	h.tomb.Go(func() error {
+		nothing := func([]table.Row, int64) {}
+		return h.follow(follower{name: "t", wait: 5 * time.Second, replace: nothing, change: nothing, confirmed: func(clock time.Duration) {
+			select {
+			case confirmed <- clock:
+			default:
+			}
+		}})
+	})
+	defer func() {
+		h.tomb.Kill(nil)
+		<-h.Done()
+	}()
+	got := []string{<-waits, <-waits, <-waits, <-waits, <-waits}
+	qt.Check(t, got, qt.DeepEquals, []string{"5000", "5000", "5000", "0", "5000"})
+	qt.Check(t, <-confirmed, qt.Equals, time.Millisecond)
+}
+
+// TestProbeTimeout guards against a look for the store that takes as long as a feed.
+func TestProbeTimeout(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer server.Close()
+	defer close(release)
+	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+	began := time.Now()
+	_, err := store.Follow(t.Context(), "t", 1, 0)
+	qt.Check(t, err, qt.ErrorIs, table.ErrUnavailable)
+	qt.Check(t, time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
