dispatch: learn how slow an engine is from callers who leave, too

Change: the end of an attempt without a first token counts as a first token that takes as long as its caller has waited, if that is longer than estimated.

--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -82,6 +83,30 @@
 	}
 }
 
+// TestLearnsFromCallersWhoLeave guards against an engine that has become so slow that its callers leave before the
+// first token, and that goes on getting requests because only answers told how fast it is.
+func TestLearnsFromCallersWhoLeave(t *testing.T) {
+	b := newBench(t)
+	slow := 0
+	for n := range 40 {
+		number, effects := b.arrive("/draft/1", generation(""))
+		send, sent := sendOf(effects)
+		qt.Assert(t, sent, qt.IsTrue)
+		if send.Endpoint.ID == "e1" {
+			if n >= 20 {
+				slow++
+			}
+			b.now += 3 * time.Second
+			b.apply(dispatch.Left{Number: number})
+			continue
+		}
+		b.now += send.Wait
+		b.apply(dispatch.First{Number: number})
+		b.finish(number, dispatch.Done)
+	}
+	qt.Check(t, slow <= 2, qt.IsTrue, qt.Commentf("%d of 20", slow))
+}
+
 // TestSessionAffinity guards against prompts of one session that are spread over engines, each of which reads the
 // shared parts anew.
 func TestSessionAffinity(t *testing.T) {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -312,10 +312,14 @@
 
 // release frees the place of the running attempt.
 func (s *State) release(now time.Duration, r *request, outcome Outcome) {
+	n := r.choice.node
 	if !r.first {
-		r.choice.node.read(now, r.choice.level, r.choice.unread)
+		n.read(now, r.choice.level, r.choice.unread)
+		if waited := now - r.started; r.pieces != nil && outcome == Cancelled && waited > r.choice.wait {
+			n.learn(waited, r.choice.wait) // the first token takes at least as long as its caller has waited
+		}
 	}
-	r.choice.node.finish(now, outcome)
+	n.finish(now, outcome)
 }
 
 // left forgets a request whose caller has gone.
