--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -52,15 +52,6 @@
 	dry    time.Duration // end of the time in which no host is asked
 }
 
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, cmp.Compare[string])
-	return names
-}
-
 // joined takes the list of hosts.
 func (s *State) joined(now time.Duration, e Joined) {
 	s.members, s.fraction = e.Members, 0
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"magnoliahoist/catalog"
@@ -188,7 +190,7 @@
 }
 
 func (s *State) tick(now time.Duration) {
-	for _, name := range sortedNames(s.accounts) {
+	for _, name := range slices.Sorted(maps.Keys(s.accounts)) {
 		a := s.accounts[name]
 		s.repay(name, a.ledger.Sweep(now))
 	}
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -31,7 +31,6 @@
 		return
 	}
 	s.release(now, r, e.Outcome)
-	r.last = e.Outcome
 	s.note(now, r, e)
 	switch {
 	case e.Outcome == Done || e.Begun:
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -57,7 +58,6 @@
 	first    bool          // the running attempt has begun to answer
 	tries    []string      // ids of endpoints
 	pieces   []piece       // of the prompt
-	last     Outcome
 }
 
 func (r *request) tried(id string) bool { return slices.Contains(r.tries, id) }
@@ -167,7 +167,7 @@
 }
 
 func (s *State) dispatchAll(now time.Duration) {
-	for _, name := range sortedNames(s.pools) {
+	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
 		s.dispatch(now, s.pools[name])
 	}
 }
--- a/endpoint/ring.go
+++ b/endpoint/ring.go
@@ -1,7 +1,5 @@
 package endpoint
 
-import "slices"
-
 // point is an endpoint's place on a ring.
 type point struct {
 	hash  uint64
@@ -64,12 +62,3 @@
 	}
 	return mix(hash)
 }
-
-func sortedNames[V any](names map[string]V) []string {
-	list := make([]string, 0, len(names))
-	for name := range names {
-		list = append(list, name)
-	}
-	slices.Sort(list)
-	return list
-}
--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -40,7 +41,7 @@
 	for _, e := range list {
 		wanted[e.Name] = e
 	}
-	for _, name := range sortedNames(v.byName) {
+	for _, name := range slices.Sorted(maps.Keys(v.byName)) {
 		if _, ok := wanted[name]; !ok {
 			v.remove(v.byName[name])
 		}
@@ -122,7 +123,7 @@
 		delete(v.models, pool)
 	}
 	clear(v.named)
-	for _, p := range sortedNames(v.models) {
+	for _, p := range slices.Sorted(maps.Keys(v.models)) {
 		for _, model := range v.models[p] {
 			v.named[key{pool: p, model: model}] = p
 			if _, ok := v.named[key{model: model}]; !ok {
--- a/process/process.go
+++ b/process/process.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,6 +44,22 @@
 	return binary, nil
 }
 
+// Main builds the program in a directory of its source, hands the path of the binary over and runs the tests. It
+// returns the exit status, for TestMain.
+func Main(source string, binary *string, run func() int) int {
+	directory, err := os.MkdirTemp("", "magnoliahoist")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	if *binary, err = Build(source, directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return run()
+}
+
 // Process is one running process.
 type Process struct {
 	name    string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,21 +48,7 @@
 // TestMain builds the binary once.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "magnoliahoist")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(directory)
-	if binary, err = process.Build("..", directory); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(process.Main("..", &binary, m.Run))
 }
 
 // TestSoak plays faults against hosts, endpoints and the store, and guards against every promise of the project that
--- a/system/process_test.go
+++ b/system/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"flag"
-	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -18,21 +17,7 @@
 // TestMain builds the binary once.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	directory, err := os.MkdirTemp("", "magnoliahoist")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(directory)
-	if binary, err = process.Build("..", directory); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(process.Main("..", &binary, m.Run))
 }
 
 // running is one running process of the test.
