caller, dev: refuse a declared oversize at once; say what make run waits for

Cause: with Content-Length: the host read on for its whole read limit (10 s) and then refused. Checking the declared length was not enough: the server reads the rest of a body that a handler has wrapped before it sends the answer, unless the connection is to be closed.

soak: constants of the proxy apart from the troubles.

--- a/caller/request.go
+++ b/caller/request.go
@@ -53,13 +53,18 @@
 // readBody reads a body up to the limit.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal) {
 	limit := s.limits.Load().Body
+	tooLong := &refusal{http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the limit", state.RunNo, 0}
+	if r.ContentLength > limit {
+		w.Header().Set("Connection", "close") // otherwise the server reads on for bytes that may never come
+		return nil, tooLong
+	}
 	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), min(r.ContentLength, limit, maxBodyAhead))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &tooLarge):
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "body_too_large", "the body exceeds the limit", state.RunNo, 0}
+		return nil, tooLong
 	default:
 		refused := badRequest("incomplete_body", "the body could not be read whole")
 		return nil, &refused
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -46,6 +46,7 @@
 	if err := h.Start(); err != nil {
 		return err
 	}
+	fmt.Fprintln(out, "magnoliahoist: started, waiting until the example models are loaded (some seconds)")
 	if err := load(ctx, h, fleet.addresses); err != nil {
 		h.Kill()
 		return err
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -13,15 +13,20 @@
 
 // Troubles of a link.
 const (
-	Delayed      Trouble       = iota // each piece of data comes late
-	Reset                             // connections are reset, new ones too
-	CutRequests                       // nothing passes towards the listener; connections stay open
-	CutAnswers                        // nothing passes back
-	Silent                            // nothing passes either way, and new connections get no answer
-	Refused                           // connections in use go on, new ones are refused
-	troubles                          // count
-	Untroubled   = Trouble(-1)        // everything passes
-	pieceBytes   = 16 << 10           // most bytes passed at once
+	Delayed     Trouble = iota // each piece of data comes late
+	Reset                      // connections are reset, new ones too
+	CutRequests                // nothing passes towards the listener; connections stay open
+	CutAnswers                 // nothing passes back
+	Silent                     // nothing passes either way, and new connections get no answer
+	Refused                    // connections in use go on, new ones are refused
+	troubles                   // count
+)
+
+// Untroubled lets everything pass.
+const Untroubled = Trouble(-1)
+
+const (
+	pieceBytes   = 16 << 10 // most bytes passed at once
 	delayTime    = 150 * time.Millisecond
 	connectLimit = time.Second
 )
--- a/system/input_test.go
+++ b/system/input_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -197,3 +198,20 @@
 	}
 	c.Check(f.counts(), qt.HasLen, 0)
 }
+
+// Guards against a host that waits in silence for a body whose declared length it will refuse.
+func TestDeclaredBodyTooLarge(t *testing.T) {
+	parallel(t)
+	f := newFleet(t, layout{hosts: 1, engine: quick, fenced: []bool{true}})
+	conn, err := net.Dial("tcp", f.hosts[0].word("callers"))
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: 99999999999\r\n\r\n", f.keys["yards"])
+	began := time.Now()
+	qt.Assert(t, conn.SetReadDeadline(began.Add(settle)), qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	defer answer.Body.Close()
+	qt.Check(t, answer.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	qt.Check(t, time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
