entry, soak: the platform's words in the stand-ins only; one loop for callers

The soak's callers had two copies of one loop. A field of soak.Play was never read. Tests only; their assertions and bounds are as before.

--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -89,12 +89,6 @@
 	return server
 }
 
-// head is the start of a stream that bears the endpoint's signature.
-func head(r *http.Request) string {
-	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Response-Stamp: stamp\r\nX-Request-Id: " + r.Header.Get("X-Request-Id") +
-		"\r\nTransfer-Encoding: chunked\r\n\r\n"
-}
-
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // TestBrokenStream guards against a failure that bears an endpoint's signature, against a stream that is broken off
@@ -108,17 +102,17 @@
 		resume string // of the last run
 		body   string
 	}{
-		"before an event":            {"/once/1", head, http.StatusBadGateway, 1, "", ""},
-		"before an event, resumable": {"/free/1", head, http.StatusBadGateway, 2, "", ""},
-		"within an event": {"/once/1", func(r *http.Request) string { return head(r) + chunk("id: 1\ndata: a\n\nid: 2\nda") },
+		"before an event":            {"/once/1", fakeplatform.StreamHead, http.StatusBadGateway, 1, "", ""},
+		"before an event, resumable": {"/free/1", fakeplatform.StreamHead, http.StatusBadGateway, 2, "", ""},
+		"within an event": {"/once/1", func(r *http.Request) string { return fakeplatform.StreamHead(r) + chunk("id: 1\ndata: a\n\nid: 2\nda") },
 			http.StatusOK, 1, "", "id: 1\ndata: a\n\n"},
 		"resumed": {"/free/1", func(r *http.Request) string {
-			if r.Header.Get("Last-Event-Id") == "1" {
-				return head(r) + chunk("id: 2\ndata: b\n\n")
+			if fakeplatform.Resumed(r) == "1" {
+				return fakeplatform.StreamHead(r) + chunk("id: 2\ndata: b\n\n")
 			}
-			return head(r) + chunk("id: 1\ndata: a\n\nid: 2\nda")
+			return fakeplatform.StreamHead(r) + chunk("id: 1\ndata: a\n\nid: 2\nda")
 		}, http.StatusOK, 2, "1", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
-		"without ids": {"/free/1", func(r *http.Request) string { return head(r) + chunk("data: a\n\nda") }, http.StatusOK, 1, "", "data: a\n\n"},
+		"without ids": {"/free/1", func(r *http.Request) string { return fakeplatform.StreamHead(r) + chunk("data: a\n\nda") }, http.StatusOK, 1, "", "data: a\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			engines := []*script{newScript(t, test.send), newScript(t, test.send)}
@@ -140,7 +134,7 @@
 			qt.Check(t, string(body), qt.Equals, test.body)
 			resumed := ""
 			for _, r := range seen {
-				resumed += r.Header.Get("Last-Event-Id")
+				resumed += fakeplatform.Resumed(r)
 			}
 			qt.Check(t, resumed, qt.Equals, test.resume)
 		})
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -56,7 +56,7 @@
 }
 
 // run sends requests until the end of the play.
-func (c *caller) run(end <-chan struct{}) {
+func (c *caller) run(end <-chan struct{}, next func() fakeplatform.Request) {
 	for {
 		select {
 		case <-end:
@@ -64,29 +64,26 @@
 			return
 		case <-time.After(callerPause):
 		}
-		request := kinds[c.random.IntN(len(kinds))]
-		request.Key = "k1"
-		if c.random.Float64() < withdrawnShare {
-			request.Key = "k2"
-		}
-		if routeOf(request.Path) == "open" {
-			request.Key = ""
-		}
-		c.ask(request)
+		c.ask(next())
 	}
 }
 
-// runLimited asks for more than the limited account's rate.
-func (c *caller) runLimited(end <-chan struct{}) {
-	for {
-		select {
-		case <-end:
-			c.client.CloseIdleConnections()
-			return
-		case <-time.After(callerPause):
-		}
-		c.ask(fakeplatform.Request{Path: "/lookup/2", Body: "limited", Key: limitedKey})
+// any returns a request of any kind.
+func (c *caller) any() fakeplatform.Request {
+	request := kinds[c.random.IntN(len(kinds))]
+	request.Key = "k1"
+	if c.random.Float64() < withdrawnShare {
+		request.Key = "k2"
 	}
+	if routeOf(request.Path) == "open" {
+		request.Key = ""
+	}
+	return request
+}
+
+// limited returns a request of the limited account; its caller asks for more than the account's rate.
+func limited() fakeplatform.Request {
+	return fakeplatform.Request{Path: "/lookup/2", Body: "limited", Key: limitedKey}
 }
 
 // ask sends one request and notes its answer.
@@ -136,11 +133,11 @@
 		for n := range callersPerHost {
 			one := w.newCaller(host, n, seed)
 			c.callers = append(c.callers, one)
-			run := one.run
+			next := one.any
 			if n == 0 {
-				run = one.runLimited
+				next = limited
 			}
-			c.running.Go(func() { run(c.end) })
+			c.running.Go(func() { one.run(c.end, next) })
 		}
 	}
 	return c
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -46,7 +46,6 @@
 	Promises  Promises
 	Asked     []Asked
 	Endpoints map[string]fakeplatform.History
-	Started   time.Time
 	Acked     time.Duration // when the withdrawal was acknowledged; 0 when it was not
 	Steps     []Step
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,7 +90,7 @@
 			Events: events, Rate: limitedRate, Burst: limitedBurst, Cost: limitedCost, Limited: limitedKey,
 			Patience: patience, Withdrawn: "k2", InTouch: inTouch, Trust: trust, Lease: lease,
 		},
-		Asked: append(asked, crowd.stop()...), Acked: w.acked, Steps: steps, Started: w.started,
+		Asked: append(asked, crowd.stop()...), Acked: w.acked, Steps: steps,
 	}
 	play.Endpoints = w.histories()
 	broken := append(play.Judge(), w.findings...)
