entry: log what hosts learn of endpoints, from whom and how old it is

The logs could not tell why a host in contact with the store sent requests to an endpoint that had left seconds before. Hosts now log each change of an endpoint with its source and the age of the copy, and a change of source; holders state with what they tell when their copy was last shown to be current. The time from the choice of an endpoint to the last byte and late periodic work are logged too. Nothing is decided by any of these yet.

--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -45,6 +45,7 @@
 // Answer is an endpoint's answer. Its body must be read or closed.
 type Answer struct {
 	*http.Response
+	Sent    time.Time // when the request, or the first part of a long one, had been written
 	conn    *conn
 	stop    func() bool
 	written chan error // result of the writer, nil when the request was written at once
@@ -65,6 +66,7 @@
 		a.abandon()
 		return nil, err
 	}
+	a.Sent = time.Now()
 	if err := a.readHead(out); err != nil {
 		a.abandon()
 		return nil, errors.WithType(errors.Annotate(err, "connection: unable to read the answer"), ErrBroken)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -50,6 +50,7 @@
 // Change is a registration that was written or removed.
 type Change struct {
 	ID       string
+	Revision int64    // of the registry's row
 	Endpoint Endpoint // unset when Removed
 	Removed  bool
 }
@@ -117,6 +118,12 @@
 	return swept
 }
 
+// Endpoint returns a registered endpoint.
+func (d *Directory) Endpoint(id string) (Endpoint, bool) {
+	e, known := d.endpoints[id]
+	return e, known
+}
+
 // Endpoints returns the endpoints in ascending order of their ids.
 func (d *Directory) Endpoints() []Endpoint {
 	list := make([]Endpoint, 0, len(d.endpoints))
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -18,6 +18,7 @@
 	Route    catalog.Route
 	Pool     catalog.Pool
 	Endpoint directory.Endpoint
+	Chosen   time.Duration // when the endpoint was chosen
 	Until    time.Duration // end of the caller's time
 	Silence  time.Duration // without an answer after which the attempt is given up; 0 for none
 	Urgency  int           // 0 is first
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -277,6 +277,7 @@
 		Route:    r.route,
 		Pool:     r.pool.spec,
 		Endpoint: n.Endpoint,
+		Chosen:   now,
 		Until:    r.deadline,
 		Silence:  s.silence(r),
 		Urgency:  urgency(r.choice.level),
--- a/entry/access.go
+++ b/entry/access.go
@@ -23,10 +23,6 @@
 	// relayWait bounds the wait of a call for changes that goes through another host. The store may turn that host
 	// away meanwhile, or serve this one again.
 	relayWait = 700 * time.Millisecond
-	// clockDrift is by how much the clocks of a host and of the store may drift apart.
-	clockDrift = 0.02
-	// clockStep is the step back of the store's clock that shows a new clock; answers are never as late.
-	clockStep = time.Minute
 	// relayPeers is how many hosts are asked in one round.
 	relayPeers = 7
 )
@@ -44,9 +40,7 @@
 	probed time.Duration // last direct call while away
 	first  int           // host that is asked first
 	heard  time.Duration // until when the configuration is known to be current
-	offset time.Duration // of the host's clock from the store's, as small as any answer showed
-	newest time.Duration // store's clock at the newest answer
-	dated  time.Duration // when offset was determined
+	clock  storeClock
 }
 
 // Away reports whether the store does not answer this host.
@@ -67,12 +61,16 @@
 		a.heard = now
 		return
 	}
-	offset, allowed := now-clock, a.offset+time.Duration(clockDrift*float64(now-a.dated))
-	if a.newest == 0 || clock < a.newest-clockStep || offset < allowed {
-		allowed = offset
-	}
-	a.offset, a.dated, a.newest = allowed, now, clock
-	a.heard = max(a.heard, clock+a.offset)
+	a.clock.take(now, clock)
+	at, _ := a.clock.local(clock)
+	a.heard = max(a.heard, at)
+}
+
+// Local returns the host's time of a time on the store's clock, and false while that is not known.
+func (a *access) Local(clock time.Duration) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.clock.local(clock)
 }
 
 // Silence returns how long the host has had no proof that its configuration is current: neither from the store, through
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -53,13 +53,15 @@
 		timer := time.AfterFunc(send.Silence, func() { cancel(errSilent) })
 		defer timer.Stop()
 	}
-	started := h.Now()
+	started, began := h.Now(), time.Now()
 	answer, err := h.connections.Exchange(ctx, platform.EncodeAttempt(t.request, send, left, t.resume))
 	if err != nil {
 		return h.failed(parent, ctx, t, err)
 	}
 	defer answer.Close()
 	finished.Took = h.Now() - started
+	t.sending = started - send.Chosen + answer.Sent.Sub(began)
+	h.metrics.sending.Observe(t.sending.Seconds())
 	verdict := platform.Judge(answer.Response)
 	finished.Outcome, finished.Back = verdict.Outcome, verdict.Back
 	if !verdict.Usable {
@@ -131,7 +133,7 @@
 	h.metrics.answered.WithLabelValues("whole").Inc()
 	h.metrics.whole.Observe(f.Took.Seconds())
 	h.log.Info("entry: answered", "request", t.request.ID, "status", status, "account", t.last.Account, "work", t.request.Describe(),
-		"endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "took", f.Took.String())
+		"endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "sending", t.sending.String(), "took", f.Took.String())
 	return true
 }
 
@@ -195,7 +197,7 @@
 	h.metrics.answered.WithLabelValues("stream").Inc()
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", answer.StatusCode, "account", t.last.Account, "work", t.request.Describe(),
 		"endpoint", t.last.Endpoint.ID, "attempt", t.last.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.resume, "estimate", t.last.Wait.String(), "first", t.first.String(),
-		"urgency", t.last.Urgency, "waited", (t.sent - t.arrived).String())
+		"urgency", t.last.Urgency, "waited", (t.sent - t.arrived).String(), "sending", t.sending.String())
 	return true
 }
 
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -45,7 +45,8 @@
 	arrived time.Duration
 	last    dispatch.Send
 	sent    time.Duration // start of the last attempt
-	first   time.Duration // from it to the first event
+	sending time.Duration // from the choice of its endpoint until it was written
+	first   time.Duration // from its start to the first event
 }
 
 // ServeHTTP answers a caller.
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -19,8 +19,13 @@
 	revision int64
 	current  bool          // followed without a gap
 	fed      time.Duration // last answer of a holder that follows the table
+	shown    time.Duration // store's clock when the copy was last shown to be current; 0 when it never was
+	source   string        // who showed it: the id of a holder, or ownFeed
 }
 
+// ownFeed is the source of a copy that the host keeps by its own calls.
+const ownFeed = "store"
+
 func newTableCopy() tableCopy { return tableCopy{rows: map[string]table.Row{}, fed: -fedLife} }
 
 // take adds rows that lead to a revision and returns those that are newer than what is known: the table and the holder
@@ -64,9 +69,12 @@
 		}
 	}
 	slices.SortFunc(rows, func(a, b table.Row) int { return cmp.Compare(a.Revision, b.Revision) })
-	return &peer.Changes{Rows: peer.RowsOf(rows), Revision: c.revision}
+	return &peer.Changes{Rows: peer.RowsOf(rows), Revision: c.revision, Clock: int64(c.shown)}
 }
 
+// show notes that the copy was current at a time on the store's clock.
+func (c *tableCopy) show(clock time.Duration) { c.shown = max(c.shown, clock) }
+
 // told takes what a holder tells after a revision and hands over what is new. Changes that don't follow on what is
 // known are left for the next exchange. It reports whether the holder knows the table as well as this host.
 func (c *tableCopy) told(now time.Duration, after int64, changes *peer.Changes, changed func(rows []table.Row)) bool {
@@ -77,6 +85,7 @@
 	if after != c.revision {
 		return true
 	}
+	c.show(time.Duration(changes.GetClock()))
 	if fresh := c.take(peer.TableRows(changes.GetRows()), changes.GetRevision()); len(fresh) > 0 {
 		changed(fresh)
 	}
@@ -105,6 +114,7 @@
 		replace: func(rows []table.Row, revision int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
+			h.noteSource(name, c, ownFeed)
 			changed(c.replace(rows, revision))
 			c.current = true
 		},
@@ -114,6 +124,12 @@
 			changed(c.take(rows, revision))
 			c.current = true
 		},
+		confirmed: func(clock time.Duration) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.noteSource(name, c, ownFeed)
+			c.show(clock)
+		},
 		lost: func() {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -121,3 +137,22 @@
 		},
 	}
 }
+
+// noteSource logs from whom the host learns of a table's changes when that changes. The caller holds the lock.
+func (h *Host) noteSource(name string, c *tableCopy, source string) {
+	if c.source == source {
+		return
+	}
+	h.log.Info("entry: another source of a table", "table", name, "source", source, "before", c.source, "revision", c.revision, "age", h.age(c).String())
+	c.source = source
+}
+
+// age returns how long ago a copy was shown to be current, by whichever host; -1 s when it never was. The caller holds
+// the lock.
+func (h *Host) age(c *tableCopy) time.Duration {
+	at, known := h.store.Local(c.shown)
+	if !known {
+		return -time.Second
+	}
+	return h.Now() - at
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	holdings  map[string]*holding // by pool
 	orderable map[string]bool     // whether adapters can be ordered, by pool
 	armed     bool                // a tick is due
+	tidied    time.Duration       // last time that has ended was cleared away
 	kick      chan struct{}       // makes the holder look at its pools
 	engines   *platform.Engines
 
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -8,6 +8,7 @@
 
 	"magnoliahoist/dispatch"
 	"magnoliahoist/peer"
+	"magnoliahoist/platform"
 	"magnoliahoist/residency"
 )
 
@@ -47,20 +48,23 @@
 				h.log.Debug("entry: unable to exchange load", "pool", pool, "holder", holder, "error", err)
 				return
 			}
-			h.takeChanges(request, answer)
+			h.takeChanges(holder, request, answer)
 			h.Apply(dispatch.Observed{Pool: pool, Loads: loadsFrom(answer.GetLoads())})
 		})
 	}
 }
 
 // takeChanges takes what the holder tells of endpoints and hosts.
-func (h *Host) takeChanges(request *peer.SummaryRequest, answer *peer.SummaryResponse) {
+func (h *Host) takeChanges(holder string, request *peer.SummaryRequest, answer *peer.SummaryResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.registry.told(h.Now(), request.GetEndpointsAfter(), answer.GetEndpoints(), h.learnEndpoints) {
+		h.noteSource(platform.EndpointTable, &h.registry.tableCopy, holder)
 		h.directory.Regain(h.Now())
 	}
-	h.fleet.rows.told(h.Now(), request.GetMembersAfter(), answer.GetMembers(), h.learn)
+	if h.fleet.rows.told(h.Now(), request.GetMembersAfter(), answer.GetMembers(), h.learn) {
+		h.noteSource(fleetTable, &h.fleet.rows, holder)
+	}
 }
 
 // noteHolder tells the reducer whether adapters can be ordered for a pool.
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -23,6 +23,7 @@
 	orders   *prometheus.CounterVec
 	store    *prometheus.CounterVec
 	waited   prometheus.Histogram
+	sending  prometheus.Histogram
 	first    prometheus.Histogram
 	error    prometheus.Histogram
 	whole    prometheus.Histogram
@@ -55,6 +56,7 @@
 	m.orders = counter("orders_total", "Orders to engines, by kind and result.", "kind", "result")
 	m.store = counter("store_calls_total", "Calls to the store, by way (direct or relayed) and result.", "way", "result")
 	m.waited = histogram("wait_seconds", "Time from the arrival of a request to its last attempt.")
+	m.sending = histogram("sending_seconds", "Time from the choice of an endpoint until the request was written to it.")
 	m.first = histogram("first_seconds", "Time from an attempt to the first event of a stream.")
 	m.error = histogram("first_error_seconds", "Absolute difference between the estimated and the measured time to the first event.")
 	m.whole = histogram("whole_seconds", "Time from an attempt to the head of a whole answer.")
@@ -66,6 +68,10 @@
 		return 0
 	})
 	gauge("silence_seconds", "Time without proof that the configuration is current.", func() float64 { return h.store.Silence().Seconds() })
+	gauge("endpoints_age_seconds", "Time since the copy of the registrations was shown to be current, by the store or through the holder of a lease; -1 when it never was.", func() float64 {
+		return h.ageOf(&h.registry.tableCopy).Seconds()
+	})
+	gauge("members_age_seconds", "The same for the rows of the hosts.", func() float64 { return h.ageOf(&h.fleet.rows).Seconds() })
 	gauge("running_requests", "Requests that have not ended.", func() float64 { return float64(h.running()) })
 	gauge("known_endpoints", "Registered endpoints.", func() float64 { return float64(h.countEndpoints()) })
 	gauge("held_leases", "Leases that this host holds.", func() float64 { return float64(h.countLeases()) })
@@ -78,6 +84,12 @@
 	return len(h.directory.Endpoints())
 }
 
+func (h *Host) ageOf(c *tableCopy) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.age(c)
+}
+
 func (h *Host) countLeases() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -17,6 +17,9 @@
 	holderRest = 200 * time.Millisecond
 )
 
+// heldUp is the delay of periodic work from which on a host is taken to have been suspended or starved.
+const heldUp = 500 * time.Millisecond
+
 // registry is the host's copy of the endpoints' table. The host's lock guards it.
 type registry struct {
 	tableCopy
@@ -56,11 +59,31 @@
 		h.registry.known = h.Now()
 	}
 	if len(rows) > 0 {
-		h.directory.Apply(h.Now(), h.registrations(rows))
+		changes := h.registrations(rows)
+		for _, c := range changes {
+			h.noteEndpoint(c)
+		}
+		h.directory.Apply(h.Now(), changes)
 		h.tellEndpoints()
 	}
 }
 
+// noteEndpoint logs an endpoint that is new, leaves or has gone. The caller holds the lock.
+func (h *Host) noteEndpoint(c directory.Change) {
+	known, is := h.directory.Endpoint(c.ID)
+	state := "serves"
+	switch {
+	case c.Removed && !is, is && !c.Removed && known.Same(c.Endpoint) && known.Leaving == c.Endpoint.Leaving:
+		return
+	case c.Removed:
+		state = "gone"
+	case c.Endpoint.Leaving:
+		state = "leaves"
+	}
+	h.log.Info("entry: endpoint", "endpoint", c.ID, "state", state, "pool", c.Endpoint.Pool, "address", c.Endpoint.Address, "revision", c.Revision,
+		"table", h.registry.revision, "source", h.registry.source, "age", h.age(&h.registry.tableCopy).String())
+}
+
 // registrations decodes rows. A row that can't be read names no endpoint to use.
 func (h *Host) registrations(rows []table.Row) []directory.Change {
 	changes := make([]directory.Change, 0, len(rows))
@@ -78,6 +101,11 @@
 // tidy gives up registrations that lapsed and closes idle connections whose time is over.
 func (h *Host) tidy(context.Context) {
 	h.mu.Lock()
+	now := h.Now()
+	if late := now - h.tidied - sweepPeriod; h.tidied > 0 && late > heldUp {
+		h.log.Warn("entry: the process was held up", "for", late.String())
+	}
+	h.tidied = now
 	if h.directory.Sweep(h.Now()) {
 		h.tellEndpoints()
 	}
