--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -31,6 +31,7 @@
 type site struct {
 	t       *testing.T
 	store   *running
+	links   []*link // of the hosts to the store
 	hosts   []*running
 	callers []string // addresses of the hosts for callers
 	ready   []string
@@ -86,9 +87,11 @@
 func (s *site) startHost(name string) {
 	s.t.Helper()
 	callers, ready, operators := freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	link := newLink(s.t, s.store.address())
+	s.links = append(s.links, link)
 	settings, err := json.Marshal(map[string]any{
 		"name": name, "domain": "z1", "callers": callers, "ready": ready, "peers": freeAddress(s.t), "operators": operators,
-		"store": s.store.address(), "lease": "300ms", "grace": "8s",
+		"store": link.address(), "lease": "300ms", "grace": "8s",
 	})
 	qt.Assert(s.t, err, qt.IsNil)
 	file := filepath.Join(s.t.TempDir(), name+".json")
@@ -327,10 +330,8 @@
 func TestPlatformLeaving(t *testing.T) {
 	parallel(t)
 	s := newSite(t, 2)
-	response, err := s.client.Post("http://"+s.apps[0].address()+"/leave", "", nil)
-	qt.Assert(t, err, qt.IsNil)
-	response.Body.Close()
-	time.Sleep(2 * time.Second) // drain_ms of the platform: from then on there must be none
+	s.leave(s.apps[0])
+	time.Sleep(leaveBound)
 	for n := range 20 {
 		got := s.ask(asked{host: n % 2, path: "/lookup/1", key: "k1"})
 		qt.Assert(t, got.status, qt.Equals, 200)
@@ -376,20 +377,30 @@
 	}
 }
 
-// members returns the hosts that a host knows.
-func (s *site) members(n int) []string {
+// hostStatus is what a host says of itself.
+type hostStatus struct {
+	ID      string
+	Members []string
+	Leases  map[string]string // id of the holder by pool
+}
+
+// statusOf returns the status of a host; nothing when it does not answer.
+func (s *site) statusOf(n int) hostStatus {
+	var status hostStatus
 	response, err := s.client.Get("http://" + s.status[n] + "/v1/status")
 	if err != nil {
-		return nil
+		return hostStatus{}
 	}
 	defer response.Body.Close()
-	var status struct{ Members []string }
 	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
-		return nil
+		return hostStatus{}
 	}
-	return status.Members
+	return status
 }
 
+// members returns the hosts that a host knows.
+func (s *site) members(n int) []string { return s.statusOf(n).Members }
+
 // TestPlatformHostGone guards against parts of allowances that stay with a host that is gone for good, and against
 // removing hosts that live.
 func TestPlatformHostGone(t *testing.T) {
