entry: rely on what a holder tells by the date of its copy

What callers saw: for 2 to 4 s after an endpoint had said that it leaves, hosts in contact with the store went on sending requests to it; some were cut off as it ended.

Cause: the holder of a lease tells the other hosts of registrations, and they make no calls of their own as long as it answers. The holder's own call for changes waited up to 20 s. Without the store it hung on a silent connection, and the holder told its old copy as if it were current; the arrival of its answer, not the age of its content, counted. The same held for the rows of the hosts.

Ruled out: lists that turn back, attempts chosen before and sent after (5.5 ms at most), suspended hosts.

Change: a holder dates what it tells by the store's clock at the answer that showed its copy to be current. Changes are taken whatever their date. The flag that a holder has lost the store is gone: the date says it.

TestCopyNotCurrent set that flag; TestCopyNotRead guards the same with the date.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -9,24 +9,25 @@
 	"magnoliahoist/table"
 )
 
-// fedLife is how long a host relies on a holder for changes of a table before it follows the table itself.
-const fedLife = time.Second
-
 // tableCopy is the host's copy of a table of which the holder of a lease tells the other hosts with the load that they
-// exchange: every call to the store is paid for, and a change would cost one for each host. The host's lock guards it.
+// exchange: every call to the store is paid for, and a change would cost one for each host. A holder may itself be
+// without the store and not know it yet. It dates what it tells by the store's clock, and a host that is told relies on
+// it only for a time from that date. The host's lock guards it.
 type tableCopy struct {
+	life     time.Duration        // from the date of what a holder tells, for which the host makes no calls of its own
 	rows     map[string]table.Row // removed ones stay, marked
 	revision int64
-	current  bool          // followed without a gap
-	fed      time.Duration // last answer of a holder that follows the table
 	shown    time.Duration // store's clock when the copy was last shown to be current; 0 when it never was
+	fed      time.Duration // the same by the host's clock, of what holders told
 	source   string        // who showed it: the id of a holder, or ownFeed
 }
 
 // ownFeed is the source of a copy that the host keeps by its own calls.
 const ownFeed = "store"
 
-func newTableCopy() tableCopy { return tableCopy{rows: map[string]table.Row{}, fed: -fedLife} }
+func newTableCopy(life time.Duration) tableCopy {
+	return tableCopy{life: life, rows: map[string]table.Row{}, fed: -life}
+}
 
 // take adds rows that lead to a revision and returns those that are newer than what is known: the table and the holder
 // may tell of the same changes.
@@ -56,10 +57,10 @@
 	return c.take(rows, revision)
 }
 
-// tell returns what another host lacks that knows the table up to a revision; nil when this host may lack something
-// itself, or when the other one knows nothing and reads the table.
+// tell returns what another host lacks that knows the table up to a revision; nil when this host has not read the
+// table, or when the other one knows nothing and reads it.
 func (c *tableCopy) tell(after int64) *peer.Changes {
-	if !c.current || after == 0 {
+	if c.shown == 0 || after == 0 {
 		return nil
 	}
 	var rows []table.Row
@@ -75,36 +76,33 @@
 // show notes that the copy was current at a time on the store's clock.
 func (c *tableCopy) show(clock time.Duration) { c.shown = max(c.shown, clock) }
 
-// told takes what a holder tells after a revision and hands over what is new. Changes that don't follow on what is
-// known are left for the next exchange. It reports whether the holder knows the table as well as this host.
-func (c *tableCopy) told(now time.Duration, after int64, changes *peer.Changes, changed func(rows []table.Row)) bool {
+// told takes what a holder tells to a host that knew the table up to a revision, dated by the host's clock, and hands
+// over what is new. It reports whether the copy is current by it. Changes count whatever their date.
+func (c *tableCopy) told(now, at time.Duration, changes *peer.Changes, changed func(rows []table.Row)) bool {
 	if changes == nil || changes.GetRevision() < c.revision {
 		return false
 	}
-	c.fed = now
-	if after != c.revision {
-		return true
-	}
 	c.show(time.Duration(changes.GetClock()))
 	if fresh := c.take(peer.TableRows(changes.GetRows()), changes.GetRevision()); len(fresh) > 0 {
 		changed(fresh)
 	}
-	return true
+	c.fed = max(c.fed, at)
+	return c.relies(now) > 0
 }
 
-// isFed reports whether a holder tells this host of changes.
-func (c *tableCopy) isFed(now time.Duration) bool { return now-c.fed < fedLife }
+// relies returns for how long the host may still rely on what holders told.
+func (c *tableCopy) relies(now time.Duration) time.Duration { return max(c.fed+c.life-now, 0) }
 
 // copied returns a follower of a table of which holders tell. Changes are handed over with the host's lock held.
-func (h *Host) copied(name string, c *tableCopy, rest func() time.Duration, changed func(rows []table.Row)) follower {
+func (h *Host) copied(name string, c *tableCopy, wait time.Duration, rest func() time.Duration, changed func(rows []table.Row)) follower {
 	return follower{
 		name: name,
-		wait: feedWait,
+		wait: wait,
 		rest: rest,
-		paused: func() bool {
+		paused: func() time.Duration {
 			h.mu.Lock()
 			defer h.mu.Unlock()
-			return c.isFed(h.Now())
+			return c.relies(h.Now())
 		},
 		revision: func() int64 {
 			h.mu.Lock()
@@ -116,13 +114,11 @@
 			defer h.mu.Unlock()
 			h.noteSource(name, c, ownFeed)
 			changed(c.replace(rows, revision))
-			c.current = true
 		},
 		change: func(rows []table.Row, revision int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			changed(c.take(rows, revision))
-			c.current = true
 		},
 		confirmed: func(clock time.Duration) {
 			h.mu.Lock()
@@ -130,11 +126,6 @@
 			h.noteSource(name, c, ownFeed)
 			c.show(clock)
 		},
-		lost: func() {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			c.current = false
-		},
 	}
 }
 
--- a/entry/copy_test.go
+++ b/entry/copy_test.go
@@ -18,7 +18,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		truth, history := map[string]int64{}, []table.Row(nil)
 		revision := int64(1)
-		holder, host := newTableCopy(), newTableCopy()
+		holder, host := newTableCopy(time.Second), newTableCopy(time.Second)
 		seen := map[string]int64{}
 		learn := func(rows []table.Row) {
 			for _, row := range rows {
@@ -46,7 +46,7 @@
 		}
 		holder.replace(whole(), revision)
 		learn(host.replace(whole(), revision))
-		holder.current = true
+		holder.show(time.Second)
 		asked := host.revision
 		for n := range rapid.IntRange(1, 40).Draw(t, "turns") {
 			switch rapid.IntRange(0, 6).Draw(t, "turn") {
@@ -68,11 +68,11 @@
 			case 5:
 				asked = host.revision
 			case 6:
-				host.told(time.Duration(n), asked, holder.tell(asked), learn)
+				host.told(time.Duration(n), time.Duration(n), holder.tell(asked), learn)
 			}
 		}
 		holder.take(after(holder.revision), revision)
-		if !host.told(time.Minute, host.revision, holder.tell(host.revision), learn) {
+		if !host.told(time.Minute, time.Minute, holder.tell(host.revision), learn) {
 			t.Fatalf("the host is not told")
 		}
 		got := map[string]int64{}
@@ -87,13 +87,45 @@
 	})
 }
 
-// TestCopyNotCurrent guards against a holder that tells of a table with a gap, and against telling a host that knows
-// nothing: it would never read the rows that are older than the holder's changes.
-func TestCopyNotCurrent(t *testing.T) {
-	holder := newTableCopy()
+// TestCopyNotRead guards against a holder that tells of a table that it has not read, and against telling a host that
+// knows nothing: it would never read the rows that are older than the holder's changes.
+func TestCopyNotRead(t *testing.T) {
+	holder := newTableCopy(time.Second)
 	holder.take([]table.Row{{Key: "k", Revision: 5}}, 5)
 	qt.Check(t, holder.tell(3), qt.IsNil)
-	holder.current = true
+	holder.show(time.Second)
 	qt.Check(t, holder.tell(0), qt.IsNil)
 	qt.Check(t, holder.tell(3).GetRows(), qt.HasLen, 1)
 }
+
+// TestCopyToldByOutdatedHolder guards against a host that makes no calls of its own because of what a holder tells whose
+// copy is old, whether the holder answers late or has heard nothing new, and against losing its changes.
+func TestCopyToldByOutdatedHolder(t *testing.T) {
+	const life = time.Second
+	for name, test := range map[string]struct {
+		dates []time.Duration // of what is told, by the host's clock
+		now   time.Duration
+		want  time.Duration // for which the host relies on it
+	}{
+		"fresh":                 {[]time.Duration{10 * time.Second}, 10 * time.Second, life},
+		"answered late":         {[]time.Duration{10 * time.Second}, 10*time.Second + 700*time.Millisecond, 300 * time.Millisecond},
+		"heard nothing new":     {[]time.Duration{10 * time.Second, 10 * time.Second}, 11 * time.Second, 0},
+		"another one was newer": {[]time.Duration{10 * time.Second, 5 * time.Second}, 10 * time.Second, life},
+		"all old":               {[]time.Duration{4 * time.Second, 5 * time.Second}, 10 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			holder, host := newTableCopy(life), newTableCopy(life)
+			host.replace(nil, 1)
+			holder.show(time.Second)
+			var got []table.Row
+			current := false
+			for n, at := range test.dates {
+				holder.take([]table.Row{{Key: "k", Revision: int64(n + 2)}}, int64(n+2))
+				current = host.told(test.now, at, holder.tell(1), func(rows []table.Row) { got = append(got, rows...) })
+			}
+			qt.Check(t, host.relies(test.now), qt.Equals, test.want)
+			qt.Check(t, current, qt.Equals, test.want > 0)
+			qt.Check(t, got, qt.HasLen, len(test.dates))
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,7 +79,6 @@
 		start:     sinceBoot(),
 		log:       log.Named("entry"),
 		directory: directory.New(),
-		registry:  registry{tableCopy: newTableCopy()},
 		waiting:   map[uint64]chan dispatch.Effect{},
 		holdings:  map[string]*holding{},
 		orderable: map[string]bool{},
@@ -98,6 +97,7 @@
 		}),
 	}
 	h.stop.began = make(chan struct{})
+	h.registry.tableCopy = newTableCopy(h.drainPart(endpointLife))
 	h.engines = platform.NewEngines(h.connections, settings.Name)
 	h.fleet = newFleet(cmp.Or(settings.Reachable, settings.Peers), settings.Domain)
 	h.store = &access{store: platform.NewStore(settings.Store), peers: h.targets, self: h.sender(), now: h.Now}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -10,6 +10,7 @@
 	"magnoliahoist/peer"
 	"magnoliahoist/platform"
 	"magnoliahoist/residency"
+	"magnoliahoist/table"
 )
 
 // summaryPeriod is how often hosts tell the holder of their load and learn that of the others.
@@ -48,23 +49,34 @@
 				h.log.Debug("entry: unable to exchange load", "pool", pool, "holder", holder, "error", err)
 				return
 			}
-			h.takeChanges(holder, request, answer)
+			h.takeChanges(holder, answer)
 			h.Apply(dispatch.Observed{Pool: pool, Loads: loadsFrom(answer.GetLoads())})
 		})
 	}
 }
 
 // takeChanges takes what the holder tells of endpoints and hosts.
-func (h *Host) takeChanges(holder string, request *peer.SummaryRequest, answer *peer.SummaryResponse) {
+func (h *Host) takeChanges(holder string, answer *peer.SummaryResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.registry.told(h.Now(), request.GetEndpointsAfter(), answer.GetEndpoints(), h.learnEndpoints) {
-		h.noteSource(platform.EndpointTable, &h.registry.tableCopy, holder)
+	if h.takeTold(platform.EndpointTable, &h.registry.tableCopy, holder, answer.GetEndpoints(), h.learnEndpoints) {
 		h.directory.Regain(h.Now())
 	}
-	if h.fleet.rows.told(h.Now(), request.GetMembersAfter(), answer.GetMembers(), h.learn) {
-		h.noteSource(fleetTable, &h.fleet.rows, holder)
+	h.takeTold(fleetTable, &h.fleet.rows, holder, answer.GetMembers(), h.learn)
+}
+
+// takeTold takes what the holder tells of one table and reports whether the copy is current by it. What is not dated
+// shows nothing. The caller holds the lock.
+func (h *Host) takeTold(name string, c *tableCopy, holder string, changes *peer.Changes, changed func(rows []table.Row)) bool {
+	at, dated := h.store.Local(time.Duration(changes.GetClock()))
+	if !dated {
+		at = c.fed
+	}
+	current := c.told(h.Now(), at, changes, changed)
+	if current {
+		h.noteSource(name, c, holder)
 	}
+	return current
 }
 
 // noteHolder tells the reducer whether adapters can be ordered for a pool.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -33,8 +33,12 @@
 	secretBytes = 24
 	// writeRetry is the wait before a write of the host's own row is tried again.
 	writeRetry = 500 * time.Millisecond
-	// memberRest is how long changes of the members gather where no holder tells of them.
+	// memberWait is how long a call for changes of the members may wait at the store, and memberRest how long they gather.
+	memberWait = 2 * time.Second
 	memberRest = 200 * time.Millisecond
+	// memberLife is how long hosts rely on what a holder has told of members, from the date of its copy. It is above
+	// memberWait, memberRest and the time between two exchanges, and far below dismissAfter.
+	memberLife = 4 * time.Second
 	// peerIdle is how long an unused connection to another host is kept.
 	peerIdle = time.Minute
 )
@@ -71,7 +75,7 @@
 		terms:     map[string]*lease.Term{},
 		missed:    map[string]time.Duration{},
 		looked:    -leaseLook,
-		rows:      newTableCopy(),
+		rows:      newTableCopy(memberLife),
 	}
 }
 
@@ -83,7 +87,7 @@
 
 // followFleet follows the rows of the hosts while no holder tells them.
 func (h *Host) followFleet() error {
-	return h.follow(h.copied(fleetTable, &h.fleet.rows, func() time.Duration { return memberRest }, h.learn))
+	return h.follow(h.copied(fleetTable, &h.fleet.rows, memberWait, func() time.Duration { return memberRest }, h.learn))
 }
 
 // learn takes rows of the hosts. The caller holds the lock.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -12,17 +12,13 @@
 )
 
 const (
-	// feedWait is how long a call for changes may wait at the store; every call is paid for.
-	feedWait = 20 * time.Second
-	// operatorWait is the same for the configuration. Its answers show that the keys are current, so it is below the time
-	// for which a host relies on them without proof, by the 3 s in which a silent connection shows itself and a call
-	// through another host.
+	// operatorWait is how long a call for changes of the configuration may wait at the store; every call is paid for. Its
+	// answers show that the keys are current, so it is below the time for which a host relies on them without proof, by
+	// the time after which an unanswered call is given up and a call through another host.
 	operatorWait = 5 * time.Second
 	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
 	feedPause      = 100 * time.Millisecond
 	feedPauseLimit = 800 * time.Millisecond
-	// pausedPoll is how often a paused follower looks whether it must go on.
-	pausedPoll = 200 * time.Millisecond
 )
 
 // follower keeps a copy of one table of the store.
@@ -35,8 +31,8 @@
 	wait time.Duration
 	// rest returns the wait after a change, in which others gather; it may be nil.
 	rest func() time.Duration
-	// paused reports whether another source tells of changes, and revision up to where; they may be nil.
-	paused   func() bool
+	// paused returns for how long another source suffices, and revision up to where it has told; they may be nil.
+	paused   func() time.Duration
 	revision func() int64
 	// confirmed tells that what an answer showed is in force, with the store's clock at the answer; it may be nil.
 	confirmed func(clock time.Duration)
@@ -50,15 +46,17 @@
 	revision, away, pause := int64(0), false, feedPause
 	whole := true
 	for {
-		if f.paused != nil && !whole && f.paused() {
-			h.sleep(pausedPoll)
-			select {
-			case <-h.tomb.Dying():
-				return nil
-			default:
+		if !whole && f.paused != nil {
+			if rest := f.paused(); rest > 0 {
+				h.sleep(rest)
+				select {
+				case <-h.tomb.Dying():
+					return nil
+				default:
+				}
+				revision = f.revision()
+				continue
 			}
-			revision = f.revision()
-			continue
 		}
 		wait := f.wait
 		if away {
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -10,13 +10,22 @@
 	"magnoliahoist/table"
 )
 
+// An endpoint that has said that it leaves must get no request after the time that the settings name. These are the
+// parts of that time in which a host learns of it; what is left of it is for the call to the store and for sending.
 const (
-	// endpointRest is how long changes of registrations gather; a leaving endpoint must get no work after two seconds.
-	endpointRest = 500 * time.Millisecond
-	// holderRest is the same for the holder of a lease, which tells the other hosts.
-	holderRest = 200 * time.Millisecond
+	// endpointWait is for a call for changes, which shows that there were none.
+	endpointWait = 0.25
+	// endpointRest is for changes to gather, and holderRest the same for the holder of a lease, which tells the others.
+	endpointRest = 0.25
+	holderRest   = 0.1
+	// endpointLife is for hosts to rely on what a holder has told, from the date of its copy. It is above endpointWait,
+	// holderRest and the time between two exchanges.
+	endpointLife = 0.6
 )
 
+// leastWait bounds the calls to the store where endpoints must get no request very soon.
+const leastWait = 50 * time.Millisecond
+
 // heldUp is the delay of periodic work from which on a host is taken to have been suspended or starved.
 const heldUp = 500 * time.Millisecond
 
@@ -28,10 +37,9 @@
 
 // followEndpoints follows the registrations of endpoints while no holder tells them.
 func (h *Host) followEndpoints() error {
-	f := h.copied(platform.EndpointTable, &h.registry.tableCopy, h.registryRest, h.learnEndpoints)
-	forget := f.lost
+	wait := max(h.drainPart(endpointWait), leastWait)
+	f := h.copied(platform.EndpointTable, &h.registry.tableCopy, wait, h.registryRest, h.learnEndpoints)
 	f.lost = func() {
-		forget()
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.directory.Lose()
@@ -48,9 +56,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.holdings) > 0 {
-		return holderRest
+		return h.drainPart(holderRest)
 	}
-	return endpointRest
+	return h.drainPart(endpointRest)
+}
+
+// drainPart returns a part of the time after which a leaving endpoint gets no request.
+func (h *Host) drainPart(part float64) time.Duration {
+	return time.Duration(part * float64(h.settings.Drain.Std()))
 }
 
 // learnEndpoints takes rows that are new. The caller holds the lock.
