entry: give up an unanswered call for the configuration within 3 s

Same class as the fault with leaving endpoints: a call for changes that waits at the store hung for 6.1 s when the store never answered it on a live connection; keep-alive probes of the connection don't show that. The bounds on changes hold again 3 s after a host got the store back. Calls now wait 1.5 s and are given up after 2.5 s.

TestFollowOperatorUnanswered failed with 6.1 s before. Price: 0.47 calls a second more for each host.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// operatorWait is how long a call for changes of the configuration may wait at the store; every call is paid for. Its
-	// answers show that the keys are current, so it is below the time for which a host relies on them without proof, by
-	// the time after which an unanswered call is given up and a call through another host.
-	operatorWait = 5 * time.Second
+	// operatorWait is how long a call for changes of the configuration may wait at the store; every call is paid for. With
+	// the second after which an unanswered call is given up it is below the 3 s (contact_ms of the platform) after which
+	// the bounds on changes hold again for a host that was without the store for a moment.
+	operatorWait = 1500 * time.Millisecond
 	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
 	feedPause      = 100 * time.Millisecond
 	feedPauseLimit = 800 * time.Millisecond
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -51,6 +51,38 @@
 	qt.Check(t, <-confirmed, qt.Equals, time.Millisecond)
 }
 
+// contactTime is contact_ms of the platform: as long after a host has got the store back, the bounds on changes of the
+// configuration hold for it again.
+const contactTime = 3 * time.Second
+
+// TestFollowOperatorUnanswered guards against a host that misses changes of the configuration because a call to the
+// store is never answered, on a connection that lives.
+func TestFollowOperatorUnanswered(t *testing.T) {
+	calls := make(chan time.Time, 100)
+	asked := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("wait_ms") != "" {
+			calls <- time.Now()
+			if asked++; asked == 1 {
+				<-r.Context().Done()
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		fmt.Fprintf(w, `{"ver":%d,"now_ms":%d,"rows":[]}`, asked+1, asked+1)
+	}))
+	defer server.Close()
+	h := New(config.Entry{Name: "self", Domain: "near", Store: strings.TrimPrefix(server.URL, "http://")}, hclog.NewNullLogger())
+	h.tomb.Go(h.followOperator)
+	defer func() {
+		h.tomb.Kill(nil)
+		<-h.Done()
+	}()
+	began := <-calls
+	took := (<-calls).Sub(began)
+	qt.Check(t, took < contactTime, qt.IsTrue, qt.Commentf("%v", took))
+}
+
 // TestProbeTimeout guards against a look for the store that takes as long as a feed.
 func TestProbeTimeout(t *testing.T) {
 	release := make(chan struct{})
