entry: answer as the holder only while the lease lasts

A host whose machine was suspended beyond its lease answered the exchange of loads as the holder until its next look at the lease, up to 0.1 s later, with what it knew before. TestExchangeAfterLease failed before.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -107,12 +107,13 @@
 }
 
 // exchange takes one host's demand and load and returns the load of all others, with what hosts must know of engines
-// beside their registrations. It reports false when this host does not hold the lease.
+// beside their registrations. It reports false when this host does not hold the lease, also when its time has ended
+// while the machine was suspended.
 func (h *Host) exchange(pool, from string, demand map[string]float64, loads []dispatch.Load) ([]dispatch.Load, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.holdings[pool]
-	if held == nil {
+	if held == nil || !h.termOf(pool).Acts(sinceBoot()) {
 		return nil, false
 	}
 	now := h.Now()
--- /dev/null
+++ b/entry/exchange_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahoist/config"
+	"magnoliahoist/dispatch"
+	"magnoliahoist/document"
+	"magnoliahoist/lease"
+	"magnoliahoist/residency"
+)
+
+// TestExchangeAfterLease guards against a host that was suspended beyond its lease and, before it has noticed, answers
+// others as the holder with loads and notices of before.
+func TestExchangeAfterLease(t *testing.T) {
+	const pool = "llm"
+	for name, test := range map[string]struct {
+		age  time.Duration // of the last renewal
+		want bool
+	}{
+		"renewed":   {guardTime / 2, true},
+		"suspended": {2 * guardTime, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := New(config.Entry{Name: "self", Domain: "near", Store: "127.0.0.1:1", Lease: document.Duration(time.Second)}, hclog.NewNullLogger())
+			h.holdings[pool] = &holding{planner: residency.New(0, 0), loads: dispatch.NewLoads()}
+			began := sinceBoot() - test.age
+			term := h.termOf(pool)
+			term.Observe(began, began, lease.Tenancy{}, 0, 0)
+			_, row, _ := term.Next(began)
+			term.Written(row, 1, true)
+			_, held := h.exchange(pool, "other", nil, nil)
+			qt.Check(t, held, qt.Equals, test.want)
+		})
+	}
+}
