connection, entry: look again whether an endpoint serves when the request is sent

An attempt is decided on in the reducer and sent later: after a wait for the request's goroutine and for a connection, up to 0.4 s. An endpoint that leaves in between got the request. The host now asks its directory once a connection is there; a request that is not sent counts as not run.

TestNoLongerAllowed failed before: the request arrived. The host of TestBrokenStream now registers its engines in the directory, as a host does.

--- a/connection/connection_test.go
+++ b/connection/connection_test.go
@@ -184,6 +184,27 @@
 	qt.Check(t, errors.Is(err, connection.ErrBroken), qt.IsTrue)
 }
 
+// TestNoLongerAllowed guards against a request that was decided on before its connection was opened, and is sent although
+// the endpoint has left meanwhile.
+func TestNoLongerAllowed(t *testing.T) {
+	got := make(chan string, 1)
+	address := serve(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		if id, err := readRequest(r); err == nil {
+			got <- id
+		}
+	})
+	pool := connection.New(settings)
+	out := outgoing(address, "1", nil)
+	out.Allowed = func() bool { return pool.Opened() == 0 }
+	_, err := exchange(t, pool, out)
+	qt.Check(t, errors.Is(err, connection.ErrUnsent), qt.IsTrue, qt.Commentf("%v", err))
+	select {
+	case id := <-got:
+		t.Fatalf("request %s was sent", id)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 // TestEarlyAnswer guards against other bytes where the rest of a long body is due: an endpoint that answers before it
 // has read the body gets no other request on that connection.
 func TestEarlyAnswer(t *testing.T) {
--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -38,6 +38,8 @@
 	Head    []byte // request line and header, with the empty line
 	Body    []byte
 	Most    int // connections of this host to the endpoint; 0 for no bound
+	// Allowed reports whether the request may still be sent, once there is a connection; nil when it always may.
+	Allowed func() bool
 	// Mine reports whether an answer is to this request; others are skipped.
 	Mine func(*http.Response) bool
 }
@@ -53,13 +55,17 @@
 	spoiled bool       // the connection must not be used again
 }
 
-// Exchange sends a request and returns the head of the answer. The error is ErrUnsent when no byte has left,
-// ErrFull when no connection may be opened, ErrBroken otherwise; the context's end breaks the exchange off.
+// Exchange sends a request and returns the head of the answer. The error is ErrUnsent when no byte has left, also when
+// the request was no longer allowed, ErrFull when no connection may be opened, ErrBroken otherwise; the context's end breaks the exchange off.
 func (p *Pool) Exchange(ctx context.Context, out Outgoing) (*Answer, error) {
 	c, err := p.take(ctx, out.Address, out.Owner, out.Most)
 	if err != nil {
 		return nil, err
 	}
+	if out.Allowed != nil && !out.Allowed() {
+		c.discard()
+		return nil, errors.Annotate(ErrUnsent, "connection: request is no longer allowed")
+	}
 	a := &Answer{conn: c}
 	a.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	if err := a.write(out); err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"magnoliahoist/connection"
+	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
 	"magnoliahoist/platform"
 )
@@ -54,7 +55,9 @@
 		defer timer.Stop()
 	}
 	started, began := h.Now(), time.Now()
-	answer, err := h.connections.Exchange(ctx, platform.EncodeAttempt(t.request, send, left, t.resume))
+	out := platform.EncodeAttempt(t.request, send, left, t.resume)
+	out.Allowed = func() bool { return h.serves(send.Endpoint) }
+	answer, err := h.connections.Exchange(ctx, out)
 	if err != nil {
 		return h.failed(parent, ctx, t, err)
 	}
@@ -75,6 +78,14 @@
 	return h.whole(parent, ctx, t, answer, finished)
 }
 
+// serves reports whether an endpoint that was chosen is still registered and does not leave.
+func (h *Host) serves(e directory.Endpoint) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, is := h.directory.Endpoint(e.ID)
+	return is && known.Same(e) && !known.Leaving
+}
+
 // discard reads the short answer of an endpoint that did not run the request, so that the connection can be used
 // again. A connection with an answer that is not the endpoint's own is closed.
 func (h *Host) discard(answer *connection.Answer, outcome dispatch.Outcome) {
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -79,11 +79,15 @@
 		Pools: []catalog.Pool{{Name: "p", Engine: &catalog.Engine{Slots: 8, Models: map[string]catalog.Model{"m": {Name: "m"}}}}},
 	})})
 	h.Apply(dispatch.Joined{Members: []dispatch.Member{{Name: "self", ID: "1"}}})
-	var list []directory.Endpoint
+	var changes []directory.Change
 	for n, e := range engines {
-		list = append(list, directory.Endpoint{ID: fmt.Sprint("e", n), Pool: "p", Address: e.address, Domain: "near", Slots: 8, Models: []directory.Model{{Name: "m"}}})
+		id := fmt.Sprint("e", n)
+		changes = append(changes, directory.Change{ID: id, Endpoint: directory.Endpoint{ID: id, Pool: "p", Address: e.address, Domain: "near", Slots: 8, Models: []directory.Model{{Name: "m"}}}})
 	}
-	h.Apply(dispatch.Registered{Endpoints: list})
+	h.mu.Lock()
+	h.directory.Apply(h.Now(), changes)
+	h.tellEndpoints()
+	h.mu.Unlock()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	return server
