connection: bound the head of an endpoint's answer

An endpoint in trouble may send bytes without end. The head of an answer had no bound: the host read 64 MB and more of one line, or of one header after the other, until it ran out of memory; provisional answers were skipped without end. Heads are now given up at 64 KiB.

--- a/connection/connection_test.go
+++ b/connection/connection_test.go
@@ -205,6 +205,44 @@
 	}
 }
 
+// TestEndlessHead guards against an endpoint in trouble that sends a head without end, or one provisional answer after
+// the other, until the host has no memory or processor time left.
+func TestEndlessHead(t *testing.T) {
+	for name, endless := range map[string]string{
+		"one line":           strings.Repeat("x", 1024),
+		"lines":              "X-Line: " + strings.Repeat("x", 1014) + "\r\n",
+		"provisional answer": "HTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nX-First: ")
+				if !strings.HasPrefix(endless, "x") {
+					io.WriteString(c, "a\r\n")
+				}
+				if strings.HasPrefix(endless, "HTTP") {
+					io.WriteString(c, "\r\n")
+				}
+				total := 0
+				for total < 64<<20 {
+					n, err := io.WriteString(c, endless)
+					total += n
+					if err != nil {
+						break
+					}
+				}
+				sent <- total
+			})
+			pool := connection.New(settings)
+			_, err := exchange(t, pool, outgoing(address, "1", nil))
+			qt.Check(t, errors.Is(err, connection.ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+			total := <-sent
+			qt.Check(t, total < 16<<20, qt.IsTrue, qt.Commentf("the host took %d bytes", total))
+		})
+	}
+}
+
 // TestEarlyAnswer guards against other bytes where the rest of a long body is due: an endpoint that answers before it
 // has read the body gets no other request on that connection.
 func TestEarlyAnswer(t *testing.T) {
--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -20,15 +20,60 @@
 	directBody = 8 << 10
 	// idleMargin is left of the time for which an endpoint keeps an idle connection.
 	idleMargin = 700 * time.Millisecond
+	// maxHeadBytes bounds what is read of an answer until its head is whole, provisional answers included. Endpoints send
+	// heads below 1 KB; one in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
 	// maxStrays is how many answers to other requests are skipped before a connection is given up.
 	maxStrays = 2
 	// maxStrayBytes bounds the body of a skipped answer.
 	maxStrayBytes = 1 << 20
 )
 
-type reader = bufio.Reader
+// reader reads answers and bounds their heads.
+type reader struct {
+	*bufio.Reader
+	source *headBound
+}
+
+func newReader(source io.Reader) *reader {
+	bound := &headBound{source: source}
+	return &reader{bufio.NewReaderSize(bound, readerSize), bound}
+}
+
+// headBound reads from a source, while a head is read only up to a number of bytes.
+type headBound struct {
+	source io.Reader
+	head   bool
+	left   int
+}
+
+// errEndless means that the head of an answer is longer than any that an endpoint sends.
+const errEndless = errors.ConstError("head of the answer is too long")
+
+// Read reads from the source.
+func (b *headBound) Read(buffer []byte) (int, error) {
+	if !b.head {
+		return b.source.Read(buffer)
+	}
+	if b.left <= 0 {
+		return 0, errEndless
+	}
+	n, err := b.source.Read(buffer[:min(len(buffer), b.left)])
+	b.left -= n
+	return n, err
+}
 
-func newReader(source io.Reader) *reader { return bufio.NewReaderSize(source, readerSize) }
+// readHead reads the head of an answer.
+func (r *reader) readHead(request *http.Request) (*http.Response, error) {
+	r.source.head, r.source.left = true, maxHeadBytes
+	defer func() { r.source.head = false }()
+	for {
+		response, err := http.ReadResponse(r.Reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
 
 // Outgoing is a request as it goes over the wire.
 type Outgoing struct {
@@ -105,13 +150,10 @@
 func (a *Answer) readHead(out Outgoing) error {
 	request := &http.Request{Method: out.Method}
 	for strays := 0; strays <= maxStrays; {
-		response, err := http.ReadResponse(a.conn.reader, request)
+		response, err := a.conn.reader.readHead(request)
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if out.Mine == nil || out.Mine(response) {
 			a.Response = response
 			return nil
