entry: bound events without end and the memory of answers that are held

A stream whose event never ends grew in memory and was copied anew with each piece: 5 s of processor time before the request's time ended it. Whole answers were bounded one by one at 16 MiB, not together. An event is now given up at 256 KiB, as a stream that broke off; all answers held at once may use a quarter of the process's memory. TestEndlessAnswer failed before (given up only by the caller's time).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,11 +16,18 @@
 	"magnoliahoist/platform"
 )
 
-// maxAnswerBytes bounds an answer that is held before it is handed to the caller.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxAnswerBytes bounds an answer that is held before it is handed to the caller.
+	maxAnswerBytes = 16 << 20
+	// heldShare is the part of the process's memory that all answers held at once may use.
+	heldShare = 0.25
+)
 
-// errSilent ends an attempt that got no answer in time.
-const errSilent = errors.ConstError("endpoint is silent")
+// Errors of an attempt.
+const (
+	errSilent  = errors.ConstError("endpoint is silent") // no answer came in time
+	errEndless = errors.ConstError("answer is too long")
+)
 
 // wholeAnswer is an endpoint's complete answer.
 type wholeAnswer struct {
@@ -129,9 +137,11 @@
 
 // whole reads a complete answer before it hands it over, so that one cut short never reaches the caller.
 func (h *Host) whole(parent, ctx context.Context, t *task, answer *connection.Answer, f dispatch.Finished) bool {
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes+1))
-	if err != nil || len(body) > maxAnswerBytes {
-		return h.failed(parent, ctx, t, errors.Annotate(connection.ErrBroken, "entry: unable to read an answer"))
+	held := &heldReader{source: answer, all: &h.held, most: int64(heldShare * float64(h.settings.Memory*megabyte))}
+	defer held.release()
+	body, err := io.ReadAll(held)
+	if err != nil {
+		return h.failed(parent, ctx, t, errors.WithType(errors.Annotate(err, "entry: unable to read an answer"), connection.ErrBroken))
 	}
 	got := &wholeAnswer{status: answer.StatusCode, header: answer.Header, body: body}
 	if f.Outcome == dispatch.Failure {
@@ -148,6 +158,27 @@
 	return true
 }
 
+// heldReader reads an answer that is held in memory, up to bounds for one answer and for all of them.
+type heldReader struct {
+	source io.Reader
+	all    *atomic.Int64 // bytes of all answers held
+	most   int64         // of all
+	held   int64
+}
+
+// Read reads from the source.
+func (r *heldReader) Read(buffer []byte) (int, error) {
+	n, err := r.source.Read(buffer)
+	r.held += int64(n)
+	if r.all.Add(int64(n)) > max(r.most, maxAnswerBytes) || r.held > maxAnswerBytes {
+		return n, errEndless
+	}
+	return n, err
+}
+
+// release says that the answer is no longer held.
+func (r *heldReader) release() { r.all.Add(-r.held) }
+
 // stream hands the events of a stream over as they come.
 func (h *Host) stream(parent, ctx context.Context, t *task, answer *connection.Answer) bool {
 	w := t.writer
@@ -180,6 +211,10 @@
 			}
 			t.resume = events.last
 		}
+		if events.tooLong() {
+			answer.Spoil()
+			return h.broken(parent, ctx, t, errEndless)
+		}
 		if err == nil {
 			continue
 		}
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -95,6 +95,60 @@
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
+// TestEndlessAnswer guards against an endpoint in trouble that sends bytes without end, in an event or in a whole answer,
+// until the host has no memory left, and against a stream cut off there that looks complete.
+func TestEndlessAnswer(t *testing.T) {
+	const piece = 64 << 10
+	for name, test := range map[string]struct {
+		path, head string
+		status     int
+	}{
+		"event":        {"/once/1", "HTTP/1.1 200 OK\r\nX-Response-Stamp: stamp\r\nX-Request-Id: r1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\ndata: ", http.StatusOK},
+		"first event":  {"/once/1", "HTTP/1.1 200 OK\r\nX-Response-Stamp: stamp\r\nX-Request-Id: r1\r\nContent-Type: text/event-stream\r\n\r\ndata: ", http.StatusBadGateway},
+		"whole answer": {"/once/1", "HTTP/1.1 500 Failure\r\nX-Response-Stamp: stamp\r\nX-Request-Id: r1\r\n\r\n", http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer listener.Close()
+			sent := make(chan int, 1)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				io.WriteString(conn, test.head)
+				total, junk := 0, make([]byte, piece)
+				for total < 64<<20 {
+					n, err := conn.Write(junk)
+					total += n
+					if err != nil {
+						break
+					}
+				}
+				sent <- total
+			}()
+			host := newHost(t, &script{address: listener.Addr().String()})
+			began := time.Now()
+			request, err := fakeplatform.Request{ID: "r1", Host: "h", Path: test.path, Model: "m", Tokens: "100,10", Patience: 5 * time.Second}.HTTP(host.Listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			answer, err := http.DefaultClient.Do(request)
+			qt.Assert(t, err, qt.IsNil)
+			defer answer.Body.Close()
+			_, err = io.ReadAll(answer.Body)
+			qt.Check(t, answer.StatusCode, qt.Equals, test.status)
+			qt.Check(t, err == nil, qt.Equals, test.status != http.StatusOK, qt.Commentf("%v", err))
+			qt.Check(t, time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("given up after %v", time.Since(began)))
+			total := <-sent
+			qt.Check(t, total < 24<<20, qt.IsTrue, qt.Commentf("the host took %d bytes", total))
+		})
+	}
+}
+
 // TestBrokenStream guards against a failure that bears an endpoint's signature, against a stream that is broken off
 // and looks complete, and against joining the pieces of two runs.
 func TestBrokenStream(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,7 @@
 	metrics     *metrics
 	tomb        tomb.Tomb
 	numbers     atomic.Uint64
+	held        atomic.Int64 // bytes of answers that are not yet whole or not yet written
 
 	mu        sync.Mutex
 	state     *dispatch.State
--- a/entry/events.go
+++ b/entry/events.go
@@ -6,6 +6,10 @@
 	"unicode"
 )
 
+// maxEventBytes bounds an event whose end has not come. Endpoints send events below 1 KB; one in trouble may send bytes
+// without end.
+const maxEventBytes = 256 << 10
+
 // eventBuffer cuts the bytes of an event stream into whole events. Lines end with LF or CR LF.
 type eventBuffer struct {
 	pending []byte
@@ -15,6 +19,9 @@
 // empty reports whether no part of an event is pending.
 func (b *eventBuffer) empty() bool { return len(b.pending) == 0 }
 
+// tooLong reports whether an event is longer than any that an endpoint sends.
+func (b *eventBuffer) tooLong() bool { return len(b.pending) > maxEventBytes }
+
 // add takes bytes and returns those up to the end of the last whole event, valid until the next call.
 func (b *eventBuffer) add(data []byte) []byte {
 	if len(data) == 0 {
