entry: keep serving in large fleets while the store is down

Found while the agreement of hosts was reviewed: a host asks seven others in one round, and only a majority within that round counted.

Answers now keep their dates over rounds, each round goes on with hosts that were not asked, and a majority has the date of its oldest answer. At 400 hosts a round asks 25, so that a majority takes eight rounds or 6.4 s of the 10 s.

--- a/entry/access.go
+++ b/entry/access.go
@@ -23,8 +23,10 @@
 	// relayWait bounds the wait of a call for changes that goes through another host. The store may turn that host
 	// away meanwhile, or serve this one again.
 	relayWait = 700 * time.Millisecond
-	// relayPeers is how many hosts are asked in one round.
+	// relayPeers is how many hosts are asked in one round at least, and relayShare the part of them in a large fleet: a
+	// majority is asked in eight rounds, which are at most 0.8 s apart, before its oldest answer is older than trust.
 	relayPeers = 7
+	relayShare = 1.0 / 16
 )
 
 // access is the host's way to the store: directly, or through another host while the store turns this one away.
@@ -42,6 +44,7 @@
 	first  int           // host that is asked first
 	heard  time.Duration // until when the configuration is known to be current
 	clock  storeClock
+	agreed agreement
 }
 
 // Away reports whether the store does not answer this host.
@@ -156,18 +159,18 @@
 func (a *access) relayRead(ctx context.Context, request *peer.ReadRequest, failed error) (table.Snapshot, error) {
 	var snapshot table.Snapshot
 	var compacted error
-	done := a.round(func(client *peer.Client, to peer.Target) (answered, served bool) {
+	done := a.round(func(client *peer.Client, to peer.Target) standing {
 		answer, err := client.Read(ctx, to, a.self, request)
 		switch {
 		case err != nil:
-			return false, false
+			return unknown
 		case answer.GetAway():
-			return true, false
+			return away
 		case answer.GetCompacted():
 			compacted = errors.Annotate(table.ErrCompacted, "entry: unable to follow a table through another host")
 		}
 		snapshot = table.Snapshot{Rows: peer.TableRows(answer.GetRows()), Revision: answer.GetRevision(), Clock: time.Duration(answer.GetClock())}
-		return true, true
+		return served
 	})
 	a.count("relayed", notDone(done))
 	if !done {
@@ -180,13 +183,16 @@
 // is put, so that one whose result is unknown may be tried through the next host.
 func (a *access) relayCommit(ctx context.Context, txn table.Txn, failed error) (table.Result, error) {
 	var result table.Result
-	done := a.round(func(client *peer.Client, to peer.Target) (answered, served bool) {
+	done := a.round(func(client *peer.Client, to peer.Target) standing {
 		answer, err := client.Write(ctx, to, a.self, peer.RequestOf(txn))
-		if err != nil {
-			return false, false
+		switch {
+		case err != nil:
+			return unknown
+		case answer.GetAway():
+			return away
 		}
 		result = table.Result{Committed: answer.GetCommitted(), Revision: answer.GetRevision()}
-		return true, !answer.GetAway()
+		return served
 	})
 	a.count("relayed", notDone(done))
 	if !done {
@@ -203,9 +209,18 @@
 	return table.ErrUnavailable
 }
 
-// round asks other hosts until one serves. When a majority of all hosts, this one included, has no contact with the
-// store, nothing can have been changed as far as can be known, which counts as contact.
-func (a *access) round(ask func(client *peer.Client, to peer.Target) (answered, served bool)) bool {
+// standing is how another host stands to the store.
+type standing int
+
+// Standings of a host that was asked.
+const (
+	unknown standing = iota // it did not answer
+	served                  // the store answers it
+	away                    // it has no contact either
+)
+
+// round asks other hosts until one is served; the next round goes on with those that were not asked.
+func (a *access) round(ask func(client *peer.Client, to peer.Target) standing) bool {
 	client, targets := a.peers()
 	if client == nil {
 		return false
@@ -213,33 +228,37 @@
 	a.mu.Lock()
 	first := a.first
 	a.mu.Unlock()
-	agreeing := 1
-	for n := range min(len(targets), relayPeers) {
+	count := min(len(targets), max(relayPeers, int(relayShare*float64(len(targets)))))
+	for n := range count {
 		at := (first + n) % len(targets)
-		answered, served := ask(client, targets[at])
-		if served {
-			a.mu.Lock()
-			a.first = at
-			a.mu.Unlock()
+		began := a.now()
+		got := ask(client, targets[at])
+		a.agreed.take(targets[at].ID, got, began)
+		if got == served {
+			a.setFirst(at)
 			return true
 		}
-		if answered {
-			agreeing++
-		}
-	}
-	if 2*agreeing > len(targets)+1 {
-		a.prolong()
 	}
+	a.setFirst(first + count)
+	a.prolong(targets)
 	return false
 }
 
-// prolong takes the word of a majority without contact. A host that was without proof for longer than it relies on one
-// may have missed changes, and so may all that agree with it.
-func (a *access) prolong() {
+func (a *access) setFirst(at int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if now := a.now(); now-a.heard <= a.trust {
-		a.heard = now
+	a.first = at
+}
+
+// prolong takes the word of a majority without contact: nothing can have been changed as far as can be known. A host
+// that was without proof for longer than it relies on one may have missed changes, and so may all that agree with it.
+func (a *access) prolong(others []peer.Target) {
+	now := a.now()
+	at, agreed := a.agreed.date(now, others)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if agreed && now-a.heard <= a.trust {
+		a.heard = max(a.heard, at)
 	}
 }
 
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -191,6 +191,46 @@
 	qt.Check(t, b.access.Silence(), qt.Equals, before)
 }
 
+// TestAccessLargeFleet guards against a large fleet that stops serving keyed requests during a long outage of the store,
+// because no host asks a majority in one round, and against an answer that counts for longer than it is true.
+func TestAccessLargeFleet(t *testing.T) {
+	for name, test := range map[string]struct {
+		relays, away int
+		contact      bool
+	}{
+		"store down":                {35, 35, true},
+		"store down, some dead":     {35, 20, true},
+		"store down, half are dead": {35, 17, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newAccessBench(t, test.relays)
+			b.front.Faults().Replace(fault.Faults{Refuse: true})
+			for n, r := range b.relays {
+				if r.away = n < test.away; !r.away {
+					b.targets[n].Address = "127.0.0.1:1"
+				}
+			}
+			b.access.Confirm(0)
+			for range 30 {
+				b.now += feedPauseLimit
+				_, err := b.access.Follow(context.Background(), "t", 1, 0)
+				qt.Assert(t, err, qt.IsNotNil)
+			}
+			qt.Check(t, b.access.Silence() <= trust, qt.Equals, test.contact, qt.Commentf("%v", b.access.Silence()))
+			for n := range b.targets {
+				b.targets[n].Address = "127.0.0.1:1"
+			}
+			before := b.access.Silence()
+			for range 30 {
+				b.now += feedPauseLimit
+				_, err := b.access.Follow(context.Background(), "t", 1, 0)
+				qt.Assert(t, err, qt.IsNotNil)
+			}
+			qt.Check(t, b.access.Silence() >= before+20*feedPauseLimit, qt.IsTrue, qt.Commentf("%v after %v", b.access.Silence(), before))
+		})
+	}
+}
+
 // TestAccessAfterReset guards against waiting for other hosts when only a connection was reset: the next call to the
 // store is direct.
 func TestAccessAfterReset(t *testing.T) {
--- a/entry/agreement.go
+++ b/entry/agreement.go
@@ -1,33 +1,43 @@
 package entry
 
 import (
+	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"magnoliahoist/peer"
 )
 
-// agreement is what other hosts say of a store that does not answer this one. When a majority of all hosts has no
-// contact either, nothing can have been changed as far as can be known. In a large fleet a majority takes several rounds
-// to ask, so that each answer keeps its date and the majority has that of its oldest one.
+// agreement is what other hosts say of a store that does not answer this one. In a large fleet a majority takes several
+// rounds to ask, so that each answer keeps its date and the majority has that of its oldest one. It is safe for
+// concurrent use.
 type agreement struct {
-	dates map[string]time.Duration // by id of the host, start of the call that it answered
+	mu    sync.Mutex
+	dates map[string]time.Duration // of hosts without contact, by id: start of the call that they answered
 }
 
-// add takes the answer of a host without contact that knows no newer configuration.
-func (a *agreement) add(id string, asked time.Duration) {
-	if a.dates == nil {
-		a.dates = map[string]time.Duration{}
+// take takes how a host stands to the store. A host that doesn't answer says nothing new.
+func (a *agreement) take(id string, s standing, asked time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch s {
+	case away:
+		if a.dates == nil {
+			a.dates = map[string]time.Duration{}
+		}
+		a.dates[id] = asked
+	case served:
+		delete(a.dates, id)
+	case unknown:
 	}
-	a.dates[id] = asked
 }
 
-// remove drops the answer of a host that has contact or knows a newer configuration.
-func (a *agreement) remove(id string) { delete(a.dates, id) }
-
-// date returns the time at which a majority of the hosts given and this one had no contact; false when no majority said
-// so. This host has none now.
+// date returns the time at which a majority of all hosts, those given and this one, had no contact; false when no
+// majority said so. This host has none now. Answers of hosts that are not given are forgotten.
 func (a *agreement) date(now time.Duration, others []peer.Target) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	present := make(map[string]time.Duration, len(others))
 	dates := []time.Duration{now}
 	for _, o := range others {
@@ -41,6 +51,6 @@
 	if len(dates) < majority {
 		return 0, false
 	}
-	slices.SortFunc(dates, func(x, y time.Duration) int { return int(y - x) })
+	slices.SortFunc(dates, func(x, y time.Duration) int { return cmp.Compare(y, x) })
 	return dates[majority-1], true
 }
