entry: no agreement on a configuration that another host knows to be old

A host that was cut off for less than trust, missed a change of the configuration and then lost the store with all others went on serving with its old keys: the others said that they have no contact, not that they know a newer configuration. Hosts without contact now state the revision of theirs, and an older one is not prolonged. TestAccessOutdated failed before in the two cases with a newer one.

--- a/entry/access.go
+++ b/entry/access.go
@@ -45,6 +45,7 @@
 	heard  time.Duration // until when the configuration is known to be current
 	clock  storeClock
 	agreed agreement
+	config int64 // revision of the configuration in force
 }
 
 // Away reports whether the store does not answer this host.
@@ -86,6 +87,20 @@
 	return a.now() - a.heard
 }
 
+// Configured takes the revision of the configuration in force.
+func (a *access) Configured(revision int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.config = revision
+}
+
+// configured returns the revision of the configuration in force; 0 when there is none.
+func (a *access) configured() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.config
+}
+
 // direct reports whether the store may be called now.
 func (a *access) direct() bool {
 	a.mu.Lock()
@@ -165,6 +180,7 @@
 		case err != nil:
 			return unknown
 		case answer.GetAway():
+			a.agreed.know(answer.GetRevision())
 			return away
 		case answer.GetCompacted():
 			compacted = errors.Annotate(table.ErrCompacted, "entry: unable to follow a table through another host")
@@ -251,13 +267,15 @@
 }
 
 // prolong takes the word of a majority without contact: nothing can have been changed as far as can be known. A host
-// that was without proof for longer than it relies on one may have missed changes, and so may all that agree with it.
+// that was without proof for longer than it relies on one may have missed changes, and so may all that agree with it. One
+// that lacks a change that another host knows has missed it.
 func (a *access) prolong(others []peer.Target) {
 	now := a.now()
 	at, agreed := a.agreed.date(now, others)
+	known := a.agreed.known()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if agreed && now-a.heard <= a.trust {
+	if agreed && now-a.heard <= a.trust && known <= a.config {
 		a.heard = max(a.heard, at)
 	}
 }
@@ -277,8 +295,9 @@
 
 // readFor makes a reading call to the store for a host that the store turns away.
 func (h *Host) readFor(ctx context.Context, r *peer.ReadRequest) *peer.ReadResponse {
+	without := &peer.ReadResponse{Away: true, Revision: h.store.configured()}
 	if h.store.Away() {
-		return &peer.ReadResponse{Away: true}
+		return without
 	}
 	var snapshot table.Snapshot
 	var err error
@@ -292,7 +311,7 @@
 		return &peer.ReadResponse{Compacted: true}
 	case err != nil:
 		h.log.Info("entry: unable to read for another host", "host", r.GetHeader().GetFrom(), "table", r.GetTable(), "error", err)
-		return &peer.ReadResponse{Away: true}
+		return without
 	}
 	return &peer.ReadResponse{Rows: peer.RowsOf(snapshot.Rows), Revision: snapshot.Revision, Clock: int64(snapshot.Clock)}
 }
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -23,12 +23,13 @@
 type relay struct {
 	peer.Backend
 	away  bool
+	knows int64 // revision of its configuration
 	store *platform.Store
 }
 
 func (r *relay) Read(ctx context.Context, request *peer.ReadRequest) (*peer.ReadResponse, error) {
 	if r.away {
-		return &peer.ReadResponse{Away: true}, nil
+		return &peer.ReadResponse{Away: true, Revision: r.knows}, nil
 	}
 	snapshot, err := r.store.ReadAll(ctx, request.GetTable())
 	return &peer.ReadResponse{Rows: peer.RowsOf(snapshot.Rows), Revision: snapshot.Revision}, err
@@ -191,6 +192,34 @@
 	qt.Check(t, b.access.Silence(), qt.Equals, before)
 }
 
+// TestAccessOutdated guards against a host that missed a change of the configuration before the store went down, and goes
+// on with its keys because the others, which know the change, have no contact either.
+func TestAccessOutdated(t *testing.T) {
+	for name, test := range map[string]struct {
+		knows   []int64 // of the other hosts, revisions of their configuration
+		contact bool
+	}{
+		"same everywhere":  {[]int64{7, 7, 7, 7}, true},
+		"others are older": {[]int64{5, 5, 0, 7}, true},
+		"one is newer":     {[]int64{7, 9, 7, 7}, false},
+		"all are newer":    {[]int64{9, 9, 9, 9}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newAccessBench(t, len(test.knows))
+			b.front.Faults().Replace(fault.Faults{Refuse: true})
+			for n, r := range b.relays {
+				r.away, r.knows = true, test.knows[n]
+			}
+			b.access.Configured(7)
+			b.access.Confirm(0)
+			b.now += proofAge
+			_, err := b.access.Follow(context.Background(), "t", 1, 0)
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Check(t, b.access.Silence() == 0, qt.Equals, test.contact, qt.Commentf("%v", b.access.Silence()))
+		})
+	}
+}
+
 // TestAccessLargeFleet guards against a large fleet that stops serving keyed requests during a long outage of the store,
 // because no host asks a majority in one round, and against an answer that counts for longer than it is true.
 func TestAccessLargeFleet(t *testing.T) {
--- a/entry/agreement.go
+++ b/entry/agreement.go
@@ -13,8 +13,23 @@
 // rounds to ask, so that each answer keeps its date and the majority has that of its oldest one. It is safe for
 // concurrent use.
 type agreement struct {
-	mu    sync.Mutex
-	dates map[string]time.Duration // of hosts without contact, by id: start of the call that they answered
+	mu     sync.Mutex
+	dates  map[string]time.Duration // of hosts without contact, by id: start of the call that they answered
+	newest int64                    // revision of the newest configuration that a host without contact knows
+}
+
+// know takes the revision of the configuration that a host without contact knows.
+func (a *agreement) know(revision int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.newest = max(a.newest, revision)
+}
+
+// known returns the revision of the newest configuration that any host without contact knew.
+func (a *agreement) known() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.newest
 }
 
 // take takes how a host stands to the store. A host that doesn't answer says nothing new.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -158,6 +158,7 @@
 		h.catalog.Store(c)
 		h.apply(dispatch.Configured{Catalog: c})
 		h.mu.Unlock()
+		h.store.Configured(row.Revision)
 		h.log.Info("entry: configuration in force", "version", c.Version(), "revision", row.Revision)
 	}
 }
