soak: endpoints leave, also while a host is without the store

The soak had no endpoint that leaves and no check of it, so that it could not find the incident. Plain services now leave and start anew under their id; half of the departures, and all in one play of seven that has no other faults, come while one host is without the store. The draws of the other steps are unchanged.

Orders that one pause held back are no longer compared with each other; orders after it are, and TestJudge covers both.

--- a/entry/copy.go
+++ b/entry/copy.go
@@ -76,18 +76,15 @@
 // show notes that the copy was current at a time on the store's clock.
 func (c *tableCopy) show(clock time.Duration) { c.shown = max(c.shown, clock) }
 
-// told takes what a holder tells to a host that knew the table up to a revision, dated by the host's clock, and hands
-// over what is new. It reports whether the copy is current by it. Changes count whatever their date.
-func (c *tableCopy) told(now, at time.Duration, changes *peer.Changes, changed func(rows []table.Row)) bool {
+// told takes what a holder tells to a host that knew the table up to a revision, dated by the host's clock. It returns
+// what is new, whatever its date, and whether the copy is current by it.
+func (c *tableCopy) told(now, at time.Duration, changes *peer.Changes) (fresh []table.Row, current bool) {
 	if changes == nil || changes.GetRevision() < c.revision {
-		return false
+		return nil, false
 	}
 	c.show(time.Duration(changes.GetClock()))
-	if fresh := c.take(peer.TableRows(changes.GetRows()), changes.GetRevision()); len(fresh) > 0 {
-		changed(fresh)
-	}
 	c.fed = max(c.fed, at)
-	return c.relies(now) > 0
+	return c.take(peer.TableRows(changes.GetRows()), changes.GetRevision()), c.relies(now) > 0
 }
 
 // relies returns for how long the host may still rely on what holders told.
@@ -118,6 +115,7 @@
 		change: func(rows []table.Row, revision int64) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
+			h.noteSource(name, c, ownFeed)
 			changed(c.take(rows, revision))
 		},
 		confirmed: func(clock time.Duration) {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -72,10 +72,13 @@
 	if !dated {
 		at = c.fed
 	}
-	current := c.told(h.Now(), at, changes, changed)
+	fresh, current := c.told(h.Now(), at, changes)
 	if current {
 		h.noteSource(name, c, holder)
 	}
+	if len(fresh) > 0 {
+		changed(fresh)
+	}
 	return current
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -39,6 +39,8 @@
 	InTouch   time.Duration // after which a host that nothing disturbs knows of a change
 	Trust     time.Duration // after which a host without contact no longer relies on keys
 	Lease     time.Duration // least time between orders of two hosts
+	Drain     time.Duration // after which an endpoint that has said that it leaves gets no request
+	Contact   time.Duration // without disturbance, after which a host must keep the promises that have a bound
 }
 
 // Play is all that was seen.
@@ -46,6 +48,7 @@
 	Promises  Promises
 	Asked     []Asked
 	Endpoints map[string]fakeplatform.History
+	Began     time.Time     // from which times count
 	Acked     time.Duration // when the withdrawal was acknowledged; 0 when it was not
 	Steps     []Step
 }
@@ -63,6 +66,7 @@
 			runs[r.ID] = append(runs[r.ID], *r)
 		}
 		p.judgeOrders(id, history.Orders, add)
+		p.judgeLeaving(id, history, add)
 	}
 	known := map[string]bool{}
 	for _, a := range p.Asked {
@@ -151,6 +155,9 @@
 func (p Play) judgeOrders(id string, orders []fakeplatform.Order, add adder) {
 	for i := 1; i < len(orders); i++ {
 		last, next := orders[i-1], orders[i]
+		if p.heldBack(id, last, next) {
+			continue
+		}
 		gap := time.Duration(next.At-last.At) * time.Millisecond
 		switch {
 		case next.Owner == last.Owner:
@@ -164,6 +171,53 @@
 	}
 }
 
+// heldBack reports whether a pause of the endpoint held two orders back: it handles what came meanwhile at once and in any
+// order, so that their times say nothing of when they were sent.
+func (p Play) heldBack(id string, orders ...fakeplatform.Order) bool {
+	return slices.ContainsFunc(p.Steps, func(s Step) bool {
+		pause, is := s.Act.(PauseEndpoint)
+		return is && id == EndpointID(pause.Endpoint) && !slices.ContainsFunc(orders, func(o fakeplatform.Order) bool {
+			after := p.since(o.At) - s.End()
+			return after < 0 || after > p.Promises.Lease
+		})
+	})
+}
+
+// EndpointID names an endpoint of a plan.
+func EndpointID(n int) string { return fmt.Sprint("e", n) }
+
+// judgeLeaving checks that an endpoint which leaves gets no request after its time from hosts that nothing disturbs.
+func (p Play) judgeLeaving(id string, history fakeplatform.History, add adder) {
+	hosts := map[string]int{}
+	for _, a := range p.Asked {
+		hosts[a.ID] = a.Host
+	}
+	for _, left := range history.Left {
+		late := map[int][]time.Duration{} // after the endpoint said that it leaves, by host
+		for _, r := range history.Runs {
+			after := time.Duration(r.Began-left.From) * time.Millisecond
+			host, known := hosts[r.ID]
+			if !known || after <= p.Promises.Drain || left.To > 0 && r.Began >= left.To {
+				continue
+			}
+			if !p.disturbed(host, p.since(left.From)-p.Promises.Contact, p.since(r.Began)) {
+				late[host] = append(late[host], after)
+			}
+		}
+		for host, after := range late {
+			add("host %d sent %d requests to endpoint %s later than %v after it had said that it leaves, the last one %v after", host, len(after), id, p.Promises.Drain, slices.Max(after))
+		}
+	}
+}
+
+// since returns the time in the play of a time in Unix milliseconds.
+func (p Play) since(at int64) time.Duration { return time.UnixMilli(at).Sub(p.Began) }
+
+// disturbed reports whether a step may have kept a host from learning of changes within a time.
+func (p Play) disturbed(host int, from, to time.Duration) bool {
+	return slices.ContainsFunc(p.Steps, func(s Step) bool { return s.Touches(host) && s.At < to && s.End() > from })
+}
+
 // judgeRate checks the limited account over every interval between two of its runs.
 func (p Play) judgeRate(runs map[string][]fakeplatform.Run, add adder) {
 	var began []int64
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -69,6 +69,9 @@
 	Failure  Failure
 }
 
+// LeaveEndpoint has an endpoint say that it leaves; at the end of the step it starts anew under its id.
+type LeaveEndpoint struct{ Endpoint int }
+
 // Withdraw takes a key away.
 type Withdraw struct{}
 
@@ -84,6 +87,7 @@
 func (Isolate) isAct()       {}
 func (FailStore) isAct()     {}
 func (FailEndpoint) isAct()  {}
+func (LeaveEndpoint) isAct() {}
 func (Withdraw) isAct()      {}
 func (Reconfigure) isAct()   {}
 
@@ -129,6 +133,15 @@
 	// lease over.
 	leastFor = 300 * time.Millisecond
 	mostFor  = 5 * time.Second
+	// mostLeaves endpoints leave in a play, each for leastLeft to mostLeft: longer than hosts may go on to use them.
+	mostLeaves = 4
+	leastLeft  = 3 * time.Second
+	mostLeft   = 6 * time.Second
+	// silentShare of the departures come while one host is without the store, since silentBefore.
+	silentShare  = 0.5
+	silentBefore = 300 * time.Millisecond
+	// calmShare of the plays have no other faults, which would excuse hosts that learn late.
+	calmShare = 0.15
 )
 
 // NewPlan draws the faults of a play: they begin within the length, overlap, and include one key that is withdrawn.
@@ -142,13 +155,40 @@
 		return []Step{{At: start, For: isolatedFor, Act: Isolate{}}, {At: start + between(time.Second/2, time.Second), Act: Withdraw{}}}
 	}
 	steps := []Step{{At: between(length/8, length/2), Act: Withdraw{}}}
+	leaves, calm := drawLeaves(seed, sizes, length)
+	if calm {
+		return sorted(append(steps, leaves...))
+	}
 	for range leastSteps + r.IntN(mostSteps-leastSteps+1) {
 		steps = append(steps, Step{At: between(0, length), For: between(leastFor, mostFor), Act: drawAct(r, sizes)})
 	}
+	return sorted(append(steps, leaves...))
+}
+
+func sorted(steps []Step) []Step {
 	slices.SortFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
 
+// drawLeaves draws the plain services that leave, and hosts that are without the store meanwhile; calm says that the play
+// has no other faults. It has its own numbers, so that the other steps of a seed stay.
+func drawLeaves(seed uint64, sizes Sizes, length time.Duration) (steps []Step, calm bool) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	least, share := 0, silentShare
+	if calm = r.Float64() < calmShare; calm {
+		least, share = 1, 1
+	}
+	for range least + r.IntN(mostLeaves+1-least) {
+		at, left := silentBefore+time.Duration(r.Int64N(int64(length))), leastLeft+time.Duration(r.Int64N(int64(mostLeft-leastLeft)))
+		at, left = at.Round(time.Millisecond), left.Round(time.Millisecond)
+		steps = append(steps, Step{At: at, For: left, Act: LeaveEndpoint{sizes.Engines + r.IntN(sizes.Services)}})
+		if r.Float64() < share {
+			steps = append(steps, Step{At: at - silentBefore, For: left, Act: Disturb{StoreLink, r.IntN(sizes.Hosts), Silent}})
+		}
+	}
+	return steps, calm
+}
+
 func drawAct(r *rand.Rand, sizes Sizes) Act {
 	host, endpoint := r.IntN(sizes.Hosts), r.IntN(sizes.Endpoints)
 	switch r.IntN(13) {
