entry: date copies anew when the store's clock begins anew

After the store had begun a new clock, a holder would have told the old date for good, and the others, for whom it lies in the future, would have relied on it without end. Dates follow a step back of more than a minute, as proofs of the configuration do, and no date counts as later than now.

--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -101,7 +101,8 @@
 }
 
 // Exchange sends a request and returns the head of the answer. The error is ErrUnsent when no byte has left, also when
-// the request was no longer allowed, ErrFull when no connection may be opened, ErrBroken otherwise; the context's end breaks the exchange off.
+// the request was no longer allowed, ErrFull when no connection may be opened, ErrBroken otherwise; the context's end
+// breaks the exchange off.
 func (p *Pool) Exchange(ctx context.Context, out Outgoing) (*Answer, error) {
 	c, err := p.take(ctx, out.Address, out.Owner, out.Most)
 	if err != nil {
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -73,8 +73,12 @@
 	return &peer.Changes{Rows: peer.RowsOf(rows), Revision: c.revision, Clock: int64(c.shown)}
 }
 
-// show notes that the copy was current at a time on the store's clock.
-func (c *tableCopy) show(clock time.Duration) { c.shown = max(c.shown, clock) }
+// show notes that the copy was current at a time on the store's clock, which may have begun anew.
+func (c *tableCopy) show(clock time.Duration) {
+	if clock > c.shown || clock < c.shown-clockStep {
+		c.shown = clock
+	}
+}
 
 // told takes what a holder tells to a host that knew the table up to a revision, dated by the host's clock. It returns
 // what is new, whatever its date, and whether the copy is current by it.
--- a/entry/copy_test.go
+++ b/entry/copy_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
 
+	"magnoliahoist/config"
 	"magnoliahoist/table"
 )
 
@@ -133,3 +135,23 @@
 		})
 	}
 }
+
+// TestCopyAfterNewClock guards against a copy that counts as current for good because the store's clock began anew: what
+// was shown by the old clock lies in the future of the new one.
+func TestCopyAfterNewClock(t *testing.T) {
+	h := New(config.Entry{Name: "self", Domain: "near", Store: "127.0.0.1:1"}, hclog.NewNullLogger())
+	holder, host := newTableCopy(time.Second), newTableCopy(time.Second)
+	host.replace(nil, 1)
+	holder.replace(nil, 1)
+	holder.show(time.Hour)
+	h.store.Confirm(time.Hour)
+	nothing := func([]table.Row) {}
+	h.takeTold("t", &host, "holder", holder.tell(1), nothing)
+	qt.Check(t, host.relies(h.Now()) > 0, qt.IsTrue)
+
+	h.store.Confirm(10 * time.Second)
+	h.takeTold("t", &host, "holder", holder.tell(1), nothing)
+	qt.Check(t, host.relies(h.Now()) <= host.life, qt.IsTrue, qt.Commentf("%v", host.relies(h.Now())))
+	holder.show(5 * time.Second)
+	qt.Check(t, time.Duration(holder.tell(1).GetClock()), qt.Equals, 5*time.Second)
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -72,7 +72,8 @@
 	if !dated {
 		at = c.fed
 	}
-	fresh, current := c.told(h.Now(), at, changes)
+	now := h.Now()
+	fresh, current := c.told(now, min(at, now), changes)
 	if current {
 		h.noteSource(name, c, holder)
 	}
