--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -15,12 +15,15 @@
 // What callers do.
 const (
 	callersPerHost = 6
-	callerPause    = 25 * time.Millisecond
-	patience       = 2 * time.Second
-	limitedKey     = "k3"
-	limitedCost    = 10.0
-	limitedRate    = 100.0
-	limitedBurst   = 200.0
+	// fewCallers is the number of callers of a host in a large deployment: all processes share one machine.
+	fewCallers   = 2
+	largeFleet   = 10 // hosts
+	callerPause  = 25 * time.Millisecond
+	patience     = 2 * time.Second
+	limitedKey   = "k3"
+	limitedCost  = 10.0
+	limitedRate  = 100.0
+	limitedBurst = 200.0
 	// withdrawnShare is the part of the requests that are made with the key that is withdrawn.
 	withdrawnShare = 0.2
 )
@@ -129,8 +132,12 @@
 
 func (w *world) newCrowd(seed uint64) *crowd {
 	c := &crowd{end: make(chan struct{})}
+	callers := callersPerHost
+	if len(w.hosts) >= largeFleet {
+		callers = fewCallers
+	}
 	for host := range w.hosts {
-		for n := range callersPerHost {
+		for n := range callers {
 			one := w.newCaller(host, n, seed)
 			c.callers = append(c.callers, one)
 			next := one.any
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -15,12 +15,12 @@
 	calm := 0
 	for seed := range uint64(200) {
 		leaves, silent, others := 0, 0, 0
-		for _, s := range soak.NewPlan(seed, sizes, playLength) {
+		for _, s := range soak.NewPlan(seed, usualSizes, playLength) {
 			switch a := s.Act.(type) {
 			case soak.LeaveEndpoint:
 				leaves++
 				qt.Check(t, s.For > drain, qt.IsTrue)
-				qt.Check(t, a.Endpoint >= sizes.Engines && a.Endpoint < sizes.Endpoints, qt.IsTrue)
+				qt.Check(t, a.Endpoint >= usualSizes.Engines && a.Endpoint < usualSizes.Endpoints, qt.IsTrue)
 			case soak.Disturb:
 				if a.Link == soak.StoreLink && a.Trouble == soak.Silent && s.For > 3*time.Second {
 					silent++
@@ -44,7 +44,7 @@
 func TestPlanOfRegressions(t *testing.T) {
 	for cause, seed := range regressions {
 		found := false
-		for _, s := range soak.NewPlan(seed, sizes, playLength) {
+		for _, s := range soak.NewPlan(seed, usualSizes, playLength) {
 			switch s.Act.(type) {
 			case soak.Isolate, soak.LeaveEndpoint:
 				found = true
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 var (
 	seeds = flag.Int("seeds", 0, "number of seeds to play in place of the usual ones")
 	first = flag.Uint64("first", 1, "first of these seeds")
+	hosts = flag.Int("hosts", 0, "number of hosts in place of the usual one; endpoints are a third more")
 	logs  = flag.String("logs", "", "directory for the logs of plays that fail")
 )
 
@@ -76,8 +77,12 @@
 
 func playSeed(t *testing.T, seed uint64) {
 	t.Parallel()
+	sizes := usualSizes
+	if *hosts > 0 {
+		sizes = soak.Sizes{Hosts: *hosts, Engines: 2 * *hosts / 3, Services: 2 * *hosts / 3, Endpoints: 2 * (2 * *hosts / 3)}
+	}
 	steps := soak.NewPlan(seed, sizes, playLength)
-	w := newWorld(t)
+	w := newWorld(t, sizes)
 	crowd := w.newCrowd(seed)
 	var playing sync.WaitGroup
 	for _, s := range steps {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -37,7 +37,8 @@
 	stopSlack = 3 * time.Second
 )
 
-var sizes = soak.Sizes{Hosts: 3, Engines: 2, Services: 2, Endpoints: 4}
+// usualSizes are those of the seeds that each run of the tests plays.
+var usualSizes = soak.Sizes{Hosts: 3, Engines: 2, Services: 2, Endpoints: 4}
 
 // host is one host with the proxies before and behind it.
 type host struct {
@@ -69,6 +70,7 @@
 // world is a deployment that faults are played against.
 type world struct {
 	t         *testing.T
+	sizes     soak.Sizes
 	started   time.Time
 	store     *process.Process
 	hosts     []*host
@@ -83,8 +85,8 @@
 	findings []string
 }
 
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, keys: []string{"k1", "k2"}, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+func newWorld(t *testing.T, sizes soak.Sizes) *world {
+	w := &world{t: t, sizes: sizes, keys: []string{"k1", "k2"}, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	w.store = w.standin("store", "store", struct{}{})
 	for n := range sizes.Endpoints {
 		w.addEndpoint(n)
@@ -128,7 +130,7 @@
 	e := &endpoint{id: soak.EndpointID(n)}
 	e.proxy = w.proxy(func() string { return e.process.Address() })
 	settings := fakeplatform.Settings{ID: e.id, Service: "app", Zone: "z1", Store: w.store.Address(), Address: e.proxy.Address(), Slots: 6, Events: events}
-	if n < sizes.Engines {
+	if n < w.sizes.Engines {
 		settings.Service, settings.Slots, settings.Places, settings.Adapters = "llm", 64, 3, 2
 		settings.Models = [][]string{{"m1", "m2"}, {"m1"}}[n%2]
 		settings.Pause, settings.Load = document.Duration(eventPause), document.Duration(loadTime)
