--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -103,12 +103,14 @@
 		kernelBuffers = 32 << 20 // most bytes that are sent and not yet read
 	)
 	for name, test := range map[string]struct {
-		path, head string
-		status     int
+		sent   int    // status of the endpoint's answer
+		kind   string // type of its content
+		begin  string // of its body
+		status int    // that the caller gets
 	}{
-		"event":        {"/once/1", "HTTP/1.1 200 OK\r\nX-Response-Stamp: stamp\r\nX-Request-Id: r1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\ndata: ", http.StatusOK},
-		"first event":  {"/once/1", "HTTP/1.1 200 OK\r\nX-Response-Stamp: stamp\r\nX-Request-Id: r1\r\nContent-Type: text/event-stream\r\n\r\ndata: ", http.StatusBadGateway},
-		"whole answer": {"/once/1", "HTTP/1.1 500 Failure\r\nX-Response-Stamp: stamp\r\nX-Request-Id: r1\r\n\r\n", http.StatusBadGateway},
+		"event":        {http.StatusOK, "text/event-stream", "id: 1\ndata: a\n\ndata: ", http.StatusOK},
+		"first event":  {http.StatusOK, "text/event-stream", "data: ", http.StatusBadGateway},
+		"whole answer": {http.StatusInternalServerError, "text/plain", "", http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -121,10 +123,11 @@
 					return
 				}
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				asked, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
 					return
 				}
-				io.WriteString(conn, test.head)
+				io.WriteString(conn, fakeplatform.OpenHead(asked, test.sent, test.kind)+test.begin)
 				total, junk := 0, make([]byte, piece)
 				for total < 128<<20 {
 					n, err := conn.Write(junk)
@@ -137,7 +140,7 @@
 			}()
 			host := newHost(t, &script{address: listener.Addr().String()})
 			began := time.Now()
-			request, err := fakeplatform.Request{ID: "r1", Host: "h", Path: test.path, Model: "m", Tokens: "100,10", Patience: 5 * time.Second}.HTTP(host.Listener.Addr().String())
+			request, err := fakeplatform.Request{ID: "r1", Host: "h", Path: "/once/1", Model: "m", Tokens: "100,10", Patience: 5 * time.Second}.HTTP(host.Listener.Addr().String())
 			qt.Assert(t, err, qt.IsNil)
 			answer, err := http.DefaultClient.Do(request)
 			qt.Assert(t, err, qt.IsNil)
