entry: the holder of a lease tells whether the configuration is current

The holder now tells the revision of the newest configuration that it has read and the date of its proof, as it does for registrations. The others read a newer one at once and otherwise make no calls for 0.6 of the new setting apply from that date, which also counts as their proof. The holder's own calls wait for a quarter of it. Refused: telling the configuration itself, 40 KB to each host at once over links of 24 Mbit/s.

TestPlatformCallsInCalm failed before (3 calls of each other host in 4 s, now 0). TestPlatformKeyUnderOutdatedHolder guards the bound when the holder is without the store; it passed before and passes now.

--- a/config/entry.go
+++ b/config/entry.go
@@ -16,6 +16,7 @@
 	defaultGrace       = 8 * time.Second
 	defaultLease       = 3 * time.Second
 	defaultDrain       = 2 * time.Second
+	defaultApply       = 2 * time.Second
 	defaultRetryWindow = 10 * time.Second
 	defaultTrust       = 10 * time.Second // within seconds, and above the pauses of a store that is slow
 )
@@ -37,6 +38,7 @@
 	Grace     document.Duration `json:"grace"`     // between SIGTERM and the end of the process
 	Lease     document.Duration `json:"lease"`     // least time between orders of two hosts
 	Drain     document.Duration `json:"drain"`     // after which an endpoint that has said that it leaves gets no request
+	Apply     document.Duration `json:"apply"`     // within which a change of the configuration must be in force
 	Trust     document.Duration `json:"trust"`     // without contact, after which keys are no longer relied on
 	Retries   Retries           `json:"retries"`
 	Log       Log               `json:"log"`
@@ -56,6 +58,7 @@
 		Grace:   document.Duration(defaultGrace),
 		Lease:   document.Duration(defaultLease),
 		Drain:   document.Duration(defaultDrain),
+		Apply:   document.Duration(defaultApply),
 		Trust:   document.Duration(defaultTrust),
 		Retries: Retries{Share: 0.2, Floor: 10, Window: document.Duration(defaultRetryWindow)},
 		Log:     Log{Level: "info", Format: "json"},
@@ -122,6 +125,7 @@
 	c.Require(e.Grace > 0, "grace", e.Grace, e.Grace.Allowed())
 	c.Require(e.Lease > 0, "lease", e.Lease, e.Lease.Allowed())
 	c.Require(e.Drain > 0, "drain", e.Drain, e.Drain.Allowed())
+	c.Require(e.Apply > 0, "apply", e.Apply, e.Apply.Allowed())
 	c.Require(e.Trust >= document.Duration(minTrust), "trust", e.Trust, "a duration of 6s or more")
 	c.Require(e.Retries.Share >= 0 && e.Retries.Share <= 1, "retries.share", e.Retries.Share, "0 to 1")
 	c.Require(e.Retries.Floor >= 0, "retries.floor", e.Retries.Floor, "0 or more")
--- a/config/entry_test.go
+++ b/config/entry_test.go
@@ -27,6 +27,7 @@
 		"number as duration": {`"name"`, `"grace":8,"name"`, "grace"},
 		"unknown log level":  {`"name"`, `"log":{"level":"loud"},"name"`, "log.level"},
 		"no time to leave":   {`"name"`, `"drain":"0s","name"`, "drain"},
+		"no time to apply":   {`"name"`, `"apply":"0s","name"`, "apply"},
 		"too little memory":  {`"name"`, `"memory":1,"name"`, "memory"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +49,7 @@
 	for placeholder, value := range map[string]string{
 		"{{node|json}}": `"front-1"`, "{{zone|json}}": `"fukuoka"`, "{{listen.front|json}}": `"10.1.0.25:8221"`, "{{listen.ready|json}}": `"10.1.0.25:8224"`,
 		"{{ip}}": "10.1.0.25", "{{port_range.0}}": "7600", "{{provider.address|json}}": `"10.200.1.7:8225"`, "{{limits.memory_mb}}": "284",
-		"{{limits.max_fds}}": "4100", "{{bounds.grace_s}}": "8", "{{bounds.lease_ms}}": "3000", "{{bounds.drain_ms}}": "2000", "{{bounds.retry_ratio}}": "0.2",
+		"{{limits.max_fds}}": "4100", "{{bounds.grace_s}}": "8", "{{bounds.lease_ms}}": "3000", "{{bounds.drain_ms}}": "2000", "{{bounds.config_apply_ms}}": "2000", "{{bounds.retry_ratio}}": "0.2",
 		"{{bounds.retry_slack}}": "52", "{{bounds.budget_window_s}}": "10", "{{bounds.ceiling_window_s}}": "5", "{{bounds.origin_excess}}": "1.1",
 	} {
 		text = strings.ReplaceAll(text, placeholder, value)
--- a/entry/access.go
+++ b/entry/access.go
@@ -45,7 +45,9 @@
 	heard  time.Duration // until when the configuration is known to be current
 	clock  storeClock
 	agreed agreement
-	config int64 // revision of the configuration in force
+	config int64         // revision of the newest configuration that was read
+	shown  time.Duration // store's clock when that was last shown to be the newest; 0 when it never was
+	fed    time.Duration // the same by the host's clock, as holders of leases told
 }
 
 // Away reports whether the store does not answer this host.
@@ -67,10 +69,45 @@
 		return
 	}
 	a.clock.take(now, clock)
+	a.shown = clock
 	at, _ := a.clock.local(clock)
 	a.heard = max(a.heard, at)
 }
 
+// Current returns the revision of the newest configuration that was read, and the store's clock when that was shown to be
+// the newest; 0 when it never was.
+func (a *access) Current() (int64, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.config, a.shown
+}
+
+// Told takes the same from the holder of a lease and reports whether there is a newer configuration to be read. The date
+// counts as a proof like an answer of the store, however it came.
+func (a *access) Told(revision int64, clock time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if revision > a.config {
+		return true
+	}
+	at, known := a.clock.local(clock)
+	if known && revision == a.config {
+		at = min(at, a.now())
+		a.heard, a.fed = max(a.heard, at), max(a.fed, at)
+	}
+	return false
+}
+
+// Relies returns for how long the host may rely on what holders told of the configuration, for a life from its date.
+func (a *access) Relies(life time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.fed == 0 {
+		return 0
+	}
+	return max(a.fed+life-a.now(), 0)
+}
+
 // Local returns the host's time of a time on the store's clock, and false while that is not known.
 func (a *access) Local(clock time.Duration) (time.Duration, bool) {
 	a.mu.Lock()
@@ -87,14 +124,14 @@
 	return a.now() - a.heard
 }
 
-// Configured takes the revision of the configuration in force.
+// Configured takes the revision of a configuration that was read, after it is in force.
 func (a *access) Configured(revision int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.config = revision
+	a.config = max(a.config, revision)
 }
 
-// configured returns the revision of the configuration in force; 0 when there is none.
+// configured returns the revision of the newest configuration that was read; 0 when there is none.
 func (a *access) configured() int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -192,6 +192,39 @@
 	qt.Check(t, b.access.Silence(), qt.Equals, before)
 }
 
+// TestAccessTold guards against a host that relies on its configuration because of what a holder tells whose own is old or
+// not dated, and against one that isn't told of a newer one.
+func TestAccessTold(t *testing.T) {
+	const life = time.Second
+	for name, test := range map[string]struct {
+		revision int64         // that the holder has read
+		age      time.Duration // of its date; negative when it has none
+		newer    bool
+		silence  time.Duration
+		relies   time.Duration
+	}{
+		"current":         {7, 200 * time.Millisecond, false, 200 * time.Millisecond, 800 * time.Millisecond},
+		"holder's is old": {7, 2 * time.Second, false, 2 * time.Second, 0},
+		"not dated":       {7, -1, false, proofAge, 0},
+		"newer one":       {9, 0, true, proofAge, 0},
+		"holder lacks it": {5, 0, false, proofAge, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newAccessBench(t, 0)
+			b.access.Configured(7)
+			b.access.Confirm(time.Hour)
+			b.now += proofAge
+			clock := time.Duration(0)
+			if test.age >= 0 {
+				clock = time.Hour + proofAge - test.age
+			}
+			qt.Check(t, b.access.Told(test.revision, clock), qt.Equals, test.newer)
+			qt.Check(t, b.access.Silence(), qt.Equals, test.silence)
+			qt.Check(t, b.access.Relies(life), qt.Equals, test.relies)
+		})
+	}
+}
+
 // TestAccessOutdated guards against a host that missed a change of the configuration before the store went down, and goes
 // on with its keys because the others, which know the change, have no contact either.
 func TestAccessOutdated(t *testing.T) {
--- a/entry/copy.go
+++ b/entry/copy.go
@@ -98,7 +98,7 @@
 func (h *Host) copied(name string, c *tableCopy, wait time.Duration, rest func() time.Duration, changed func(rows []table.Row)) follower {
 	return follower{
 		name: name,
-		wait: wait,
+		wait: func() time.Duration { return wait },
 		rest: rest,
 		paused: func() time.Duration {
 			h.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,6 +55,7 @@
 	armed     bool                // a tick is due
 	tidied    time.Duration       // last time that has ended was cleared away
 	kick      chan struct{}       // makes the holder look at its pools
+	changed   chan struct{}       // there is a newer configuration to be read
 	engines   *platform.Engines
 
 	catalog atomic.Pointer[catalog.Catalog]
@@ -84,6 +85,7 @@
 		holdings:  map[string]*holding{},
 		orderable: map[string]bool{},
 		kick:      make(chan struct{}, 1),
+		changed:   make(chan struct{}, 1),
 		connections: connection.New(connection.Settings{
 			Connect: connectTimeout,
 			Idle:    idleTimeout,
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -50,6 +50,7 @@
 				return
 			}
 			h.takeChanges(holder, answer)
+			h.takeConfiguration(answer.GetConfiguration())
 			h.Apply(dispatch.Observed{Pool: pool, Loads: loadsFrom(answer.GetLoads())})
 		})
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,7 +6,9 @@
 
 	"github.com/juju/errors"
 
+	"magnoliahoist/catalog"
 	"magnoliahoist/dispatch"
+	"magnoliahoist/peer"
 	"magnoliahoist/platform"
 	"magnoliahoist/table"
 )
@@ -16,6 +18,12 @@
 	// the second after which an unanswered call is given up it is below the 3 s (contact_ms of the platform) after which
 	// the bounds on changes hold again for a host that was without the store for a moment.
 	operatorWait = 1500 * time.Millisecond
+	// operatorPart is the same for the holder of a lease, which tells the other hosts whether there is a change, as a part
+	// of the time within which a change must be in force.
+	operatorPart = 0.25
+	// operatorLife is the part of that time for which hosts rely on what a holder has told, from its date. It is above
+	// operatorPart and the time between two exchanges.
+	operatorLife = 0.6
 	// feedPause is the wait after a call that failed, doubled up to feedPauseLimit.
 	feedPause      = 100 * time.Millisecond
 	feedPauseLimit = 800 * time.Millisecond
@@ -27,13 +35,15 @@
 	// replace takes all rows, change those that were changed.
 	replace func(rows []table.Row, revision int64)
 	change  func(rows []table.Row, revision int64)
-	// wait is how long a call for changes may wait at the store.
-	wait time.Duration
+	// wait returns how long a call for changes may wait at the store.
+	wait func() time.Duration
 	// rest returns the wait after a change, in which others gather; it may be nil.
 	rest func() time.Duration
-	// paused returns for how long another source suffices, and revision up to where it has told; they may be nil.
+	// paused returns for how long another source suffices, and revision up to where it has told; they may be nil. Without
+	// revision, the table is read whole after a pause. A pause ends at once when wake says so.
 	paused   func() time.Duration
 	revision func() int64
+	wake     <-chan struct{}
 	// confirmed tells that what an answer showed is in force, with the store's clock at the answer; it may be nil.
 	confirmed func(clock time.Duration)
 	// lost and regained tell of the store's absence; they may be nil.
@@ -44,21 +54,25 @@
 func (h *Host) follow(f follower) error {
 	ctx := h.tomb.Context(context.Background())
 	revision, away, pause := int64(0), false, feedPause
-	whole := true
+	whole, read := true, false
 	for {
-		if !whole && f.paused != nil {
-			if rest := f.paused(); rest > 0 {
-				h.sleep(rest)
-				select {
-				case <-h.tomb.Dying():
-					return nil
-				default:
-				}
+		if rest := f.rests(read); rest > 0 {
+			woken := h.rest(rest, f.wake)
+			select {
+			case <-h.tomb.Dying():
+				return nil
+			default:
+			}
+			if f.revision != nil {
 				revision = f.revision()
+			} else {
+				whole = true
+			}
+			if !woken {
 				continue
 			}
 		}
-		wait := f.wait
+		wait := f.wait()
 		if away {
 			wait = 0 // a call that waits would hang on a connection that died with the store
 		}
@@ -107,8 +121,29 @@
 		if changed && !whole && f.rest != nil {
 			h.sleep(f.rest())
 		}
-		whole = false
+		whole, read = false, true
+	}
+}
+
+// rests returns for how long a follower whose table has been read makes no calls.
+func (f follower) rests(read bool) time.Duration {
+	if !read || f.paused == nil {
+		return 0
 	}
+	return f.paused()
+}
+
+// rest waits and reports whether it was woken before; a nil channel never wakes it.
+func (h *Host) rest(d time.Duration, wake <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-h.tomb.Dying():
+	case <-timer.C:
+	case <-wake:
+		return true
+	}
+	return false
 }
 
 func call(f func()) {
@@ -125,18 +160,41 @@
 }
 
 // sleep waits, but not beyond the host's end.
-func (h *Host) sleep(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-h.tomb.Dying():
-	case <-timer.C:
+func (h *Host) sleep(d time.Duration) { h.rest(d, nil) }
+
+// followOperator follows the operator's configuration while no holder tells that it is current.
+func (h *Host) followOperator() error {
+	life := h.applyPart(operatorLife)
+	return h.follow(follower{
+		name: platform.OperatorTable, wait: h.operatorWait, replace: h.configure, change: h.configure, confirmed: h.store.Confirm,
+		paused: func() time.Duration { return h.store.Relies(life) }, wake: h.changed,
+	})
+}
+
+// operatorWait returns how long a call for changes of the configuration may wait.
+func (h *Host) operatorWait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.holdings) > 0 {
+		return max(h.applyPart(operatorPart), leastWait)
 	}
+	return operatorWait
 }
 
-// followOperator follows the operator's configuration.
-func (h *Host) followOperator() error {
-	return h.follow(follower{name: platform.OperatorTable, wait: operatorWait, replace: h.configure, change: h.configure, confirmed: h.store.Confirm})
+// applyPart returns a part of the time within which a change of the configuration must be in force.
+func (h *Host) applyPart(part float64) time.Duration {
+	return time.Duration(part * float64(h.settings.Apply.Std()))
+}
+
+// takeConfiguration takes what the holder tells of the configuration and has a newer one read at once.
+func (h *Host) takeConfiguration(told *peer.Changes) {
+	if told == nil || !h.store.Told(told.GetRevision(), time.Duration(told.GetClock())) {
+		return
+	}
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
 }
 
 // configure puts the newest configuration among the rows in force.
@@ -148,21 +206,26 @@
 		}
 		if err != nil {
 			h.log.Error("entry: unable to use a configuration", "revision", row.Revision, "error", err)
-			continue
-		}
-		known := h.catalog.Load()
-		if known != nil && c.Version() <= known.Version() {
-			continue
+		} else {
+			h.enforce(c, row.Revision)
 		}
-		h.mu.Lock()
-		h.catalog.Store(c)
-		h.apply(dispatch.Configured{Catalog: c})
-		h.mu.Unlock()
 		h.store.Configured(row.Revision)
-		h.log.Info("entry: configuration in force", "version", c.Version(), "revision", row.Revision)
 	}
 }
 
+// enforce puts a configuration in force unless a newer one is.
+func (h *Host) enforce(c *catalog.Catalog, revision int64) {
+	known := h.catalog.Load()
+	if known != nil && c.Version() <= known.Version() {
+		return
+	}
+	h.mu.Lock()
+	h.catalog.Store(c)
+	h.apply(dispatch.Configured{Catalog: c})
+	h.mu.Unlock()
+	h.log.Info("entry: configuration in force", "version", c.Version(), "revision", revision)
+}
+
 // tellEndpoints tells the reducer of the endpoints. The caller holds the lock.
 func (h *Host) tellEndpoints() {
 	h.apply(dispatch.Registered{Endpoints: h.directory.Endpoints()})
--- a/entry/follow_test.go
+++ b/entry/follow_test.go
@@ -35,7 +35,7 @@
 	confirmed := make(chan time.Duration, 100)
 	h.tomb.Go(func() error {
 		nothing := func([]table.Row, int64) {}
-		return h.follow(follower{name: "t", wait: 5 * time.Second, replace: nothing, change: nothing, confirmed: func(clock time.Duration) {
+		return h.follow(follower{name: "t", wait: func() time.Duration { return 5 * time.Second }, replace: nothing, change: nothing, confirmed: func(clock time.Duration) {
 			select {
 			case confirmed <- clock:
 			default:
--- a/entry/service.go
+++ b/entry/service.go
@@ -38,12 +38,14 @@
 	if !held {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
 	}
+	revision, clock := s.host.store.Current()
 	s.host.mu.Lock()
 	defer s.host.mu.Unlock()
 	return &peer.SummaryResponse{
-		Loads:     loadsOf(loads),
-		Endpoints: s.host.registry.tell(r.GetEndpointsAfter()),
-		Members:   s.host.fleet.rows.tell(r.GetMembersAfter()),
+		Loads:         loadsOf(loads),
+		Endpoints:     s.host.registry.tell(r.GetEndpointsAfter()),
+		Members:       s.host.fleet.rows.tell(r.GetMembersAfter()),
+		Configuration: &peer.Changes{Revision: revision, Clock: int64(clock)},
 	}, nil
 }
 
--- /dev/null
+++ b/system/platform_calls_test.go
@@ -0,0 +1,73 @@
+package system_test
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// storeCalls returns the direct calls to the store that a host has made.
+func (s *site) storeCalls(n int) float64 {
+	s.t.Helper()
+	response, err := s.client.Get("http://" + s.status[n] + "/metrics")
+	qt.Assert(s.t, err, qt.IsNil)
+	defer response.Body.Close()
+	total := 0.0
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		name, value, _ := strings.Cut(lines.Text(), "} ")
+		if !strings.HasPrefix(name, `magnoliahoist_entry_store_calls_total{result="done",way="direct"`) {
+			continue
+		}
+		count, err := strconv.ParseFloat(value, 64)
+		qt.Assert(s.t, err, qt.IsNil)
+		total += count
+	}
+	return total
+}
+
+// TestPlatformCallsInCalm guards against calls to the store that grow with the number of hosts: in calm only the holder of
+// the lease calls it.
+func TestPlatformCallsInCalm(t *testing.T) {
+	parallel(t)
+	s := newSite(t, 3)
+	holder := s.holder()
+	time.Sleep(5 * time.Second) // all hosts are told by the holder, and calls that waited have ended
+	var before [3]float64
+	for n := range s.hosts {
+		before[n] = s.storeCalls(n)
+	}
+	time.Sleep(4 * time.Second)
+	for n := range s.hosts {
+		calls := s.storeCalls(n) - before[n]
+		if n == holder {
+			qt.Check(t, calls > 0, qt.IsTrue)
+			continue
+		}
+		qt.Check(t, calls, qt.Equals, 0.0, qt.Commentf("host %d, holder %d", n, holder))
+	}
+}
+
+// TestPlatformKeyUnderOutdatedHolder guards against a key that works on hosts with contact to the store after it was
+// withdrawn, because the host that tells them of changes hears nothing new itself.
+func TestPlatformKeyUnderOutdatedHolder(t *testing.T) {
+	const applyBound = 2 * time.Second // config_apply_ms of the platform
+	parallel(t)
+	s := newSite(t, 3)
+	holder := s.holder()
+	time.Sleep(2 * time.Second) // all hosts are told by the holder
+	s.links[holder].cut()
+	time.Sleep(200 * time.Millisecond)
+	s.configure("k3")
+	time.Sleep(applyBound)
+	for n := range s.hosts {
+		if n != holder {
+			qt.Check(t, s.ask(asked{host: n, path: "/stamp/1", key: "k1"}).status, qt.Equals, http.StatusUnauthorized)
+			qt.Check(t, s.ask(asked{host: n, path: "/stamp/1", key: "k3"}).status, qt.Equals, http.StatusOK)
+		}
+	}
+}
