soak: judge a request that a trouble held back by when it was asked

The trace: request h1c4-33 came at 13:02.673, before the endpoint said that it leaves (13:02.71); host1 sent it at once, logged the departure at 13:02.869 and gave the request up at 13:04.675; the silent link to e3 delivered it when it healed at 13:05.0. Nothing was sent late, and the platform doesn't count requests that a harmed link held up.

Where the endpoint or the links to it were in trouble, a request now counts if it was asked later than the bound; TestJudge has both sides.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -188,20 +188,23 @@
 
 // judgeLeaving checks that an endpoint which leaves gets no request after its time from hosts that nothing disturbs.
 func (p Play) judgeLeaving(id string, history fakeplatform.History, add adder) {
-	hosts := map[string]int{}
+	asked := map[string]Asked{}
 	for _, a := range p.Asked {
-		hosts[a.ID] = a.Host
+		asked[a.ID] = a
 	}
 	for _, left := range history.Left {
 		late := map[int][]time.Duration{} // after the endpoint said that it leaves, by host
 		for _, r := range history.Runs {
 			after := time.Duration(r.Began-left.From) * time.Millisecond
-			host, known := hosts[r.ID]
+			a, known := asked[r.ID]
 			if !known || after <= p.Promises.Drain || left.To > 0 && r.Began >= left.To {
 				continue
 			}
-			if !p.disturbed(host, p.since(left.From)-p.Promises.Contact, p.since(r.Began)) {
-				late[host] = append(late[host], after)
+			if a.Sent <= p.since(left.From)+p.Promises.Drain && p.heldUp(id, p.since(r.Began)) {
+				continue
+			}
+			if !p.disturbed(a.Host, p.since(left.From)-p.Promises.Contact, p.since(r.Began)) {
+				late[a.Host] = append(late[a.Host], after)
 			}
 		}
 		for host, after := range late {
@@ -210,6 +213,25 @@
 	}
 }
 
+// heldUp reports whether a trouble of the endpoint or of the links to it may have held a request back that reached it at a
+// time: it may have been sent long before.
+func (p Play) heldUp(id string, at time.Duration) bool {
+	return slices.ContainsFunc(p.Steps, func(s Step) bool {
+		endpoint := -1
+		switch a := s.Act.(type) {
+		case PauseEndpoint:
+			endpoint = a.Endpoint
+		case FailEndpoint:
+			endpoint = a.Endpoint
+		case Disturb:
+			if a.Link == EndpointLink {
+				endpoint = a.Index
+			}
+		}
+		return EndpointID(endpoint) == id && s.At < at && s.End()+p.Promises.Contact > at
+	})
+}
+
 // since returns the time in the play of a time in Unix milliseconds.
 func (p Play) since(at int64) time.Duration { return time.UnixMilli(at).Sub(p.Began) }
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -59,6 +59,21 @@
 			p.Endpoints["e0"] = leaving(1000, 0, 3500)
 			p.Steps = []soak.Step{{At: 0, For: 2 * time.Second, Act: soak.Disturb{Link: soak.StoreLink, Index: 1, Trouble: soak.Silent}}}
 		}, 1},
+		"left, request held up": {func(p *soak.Play) {
+			p.Endpoints["e0"] = leaving(1000, 0, 3500)
+			p.Asked[0].Sent = 900 * time.Millisecond
+			p.Steps = []soak.Step{{At: 500 * time.Millisecond, For: 3 * time.Second, Act: soak.Disturb{Link: soak.EndpointLink, Trouble: soak.Silent}}}
+		}, 0},
+		"left, link disturbed, asked late": {func(p *soak.Play) {
+			p.Endpoints["e0"] = leaving(1000, 0, 3500)
+			p.Asked[0].Sent = 3100 * time.Millisecond
+			p.Steps = []soak.Step{{At: 500 * time.Millisecond, For: 3 * time.Second, Act: soak.Disturb{Link: soak.EndpointLink, Trouble: soak.Silent}}}
+		}, 1},
+		"left, other link disturbed": {func(p *soak.Play) {
+			p.Endpoints["e0"] = leaving(1000, 0, 3500)
+			p.Asked[0].Sent = 900 * time.Millisecond
+			p.Steps = []soak.Step{{At: 500 * time.Millisecond, For: 3 * time.Second, Act: soak.Disturb{Link: soak.EndpointLink, Index: 1, Trouble: soak.Silent}}}
+		}, 1},
 		"over its rate": {func(p *soak.Play) {
 			p.Asked[0].Key = "k3"
 			var more fakeplatform.History
