entry: say that the store is away only by a call that was just made

Found in review: hosts that a holder tells of everything make no calls of their own, so that a host which had lost the store for a moment went on telling others that it has no contact, for good. Those cut off from the store could not reach it through that host, and took its word as one of a majority without contact, which prolongs the proof that their keys are current.

TestRelayAfterLoss failed before ('long ago').

--- a/entry/access.go
+++ b/entry/access.go
@@ -138,7 +138,8 @@
 	return a.config
 }
 
-// direct reports whether the store may be called now.
+// direct reports whether the store may be called now: always after a call that was answered, and after one that was not
+// once in probePeriod. A host that makes no calls of its own must not pass on what an old call showed.
 func (a *access) direct() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -333,7 +334,7 @@
 // readFor makes a reading call to the store for a host that the store turns away.
 func (h *Host) readFor(ctx context.Context, r *peer.ReadRequest) *peer.ReadResponse {
 	without := &peer.ReadResponse{Away: true, Revision: h.store.configured()}
-	if h.store.Away() {
+	if !h.store.direct() {
 		return without
 	}
 	var snapshot table.Snapshot
@@ -343,6 +344,7 @@
 	} else {
 		snapshot, err = h.store.store.Follow(ctx, r.GetTable(), r.GetAfter(), min(time.Duration(r.GetWait()), relayWait))
 	}
+	h.store.note(err)
 	switch {
 	case errors.Is(err, table.ErrCompacted):
 		return &peer.ReadResponse{Compacted: true}
@@ -355,10 +357,11 @@
 
 // writeFor makes a write for a host that the store turns away.
 func (h *Host) writeFor(ctx context.Context, r *peer.WriteRequest) (*peer.WriteResponse, error) {
-	if h.store.Away() {
+	if !h.store.direct() {
 		return &peer.WriteResponse{Away: true}, nil
 	}
 	result, err := h.store.store.Commit(ctx, peer.TxnOf(r))
+	h.store.note(err)
 	if errors.Is(err, table.ErrNotSent) {
 		return &peer.WriteResponse{Away: true}, nil
 	}
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -10,8 +10,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"magnoliahoist/config"
 	"magnoliahoist/fault"
 	"magnoliahoist/peer"
 	"magnoliahoist/platform"
@@ -253,6 +255,36 @@
 	}
 }
 
+// TestRelayAfterLoss guards against a host that tells others that it has no contact with the store because of a call that
+// failed long ago: told by a holder, it makes no calls of its own that would show it otherwise. Others would take its word
+// as a sign that the store is down for all.
+func TestRelayAfterLoss(t *testing.T) {
+	store, address := startStore(t)
+	store.Put("t", "k", []byte("v"))
+	h := New(config.Entry{Name: "self", Domain: "near", Store: address}, hclog.NewNullLogger())
+	for name, test := range map[string]struct {
+		since time.Duration // since the last call
+		down  bool
+		away  bool
+	}{
+		"long ago":       {2 * probePeriod, false, false},
+		"just now":       {0, false, true},
+		"long ago, down": {2 * probePeriod, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store.Faults().Replace(fault.Faults{Refuse: test.down})
+			h.store.away, h.store.probed = true, h.Now()-test.since
+			read := h.readFor(t.Context(), &peer.ReadRequest{Header: &peer.Header{From: "other"}, Table: "t", Whole: true})
+			qt.Check(t, read.GetAway(), qt.Equals, test.away)
+			qt.Check(t, h.store.Away(), qt.Equals, test.away)
+			h.store.away, h.store.probed = true, h.Now()-test.since
+			written, err := h.writeFor(t.Context(), peer.RequestOf(table.Txn{Writes: []table.Write{{Key: "t/k", Value: []byte("v")}}}))
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, written.GetAway(), qt.Equals, test.away)
+		})
+	}
+}
+
 // TestAccessLargeFleet guards against a large fleet that stops serving keyed requests during a long outage of the store,
 // because no host asks a majority in one round, and against an answer that counts for longer than it is true.
 func TestAccessLargeFleet(t *testing.T) {
