entry: one accessor for the configuration read, one function for parts of a bound

Found in reading the change once more; behaviour is as before. configured() repeated Current(); drainPart and applyPart were the same but for the setting; the method operatorWait had the name of a constant; tidy read the clock twice.

--- a/entry/access.go
+++ b/entry/access.go
@@ -74,8 +74,8 @@
 	a.heard = max(a.heard, at)
 }
 
-// Current returns the revision of the newest configuration that was read, and the store's clock when that was shown to be
-// the newest; 0 when it never was.
+// Current returns the revision of the newest configuration that was read, 0 when there is none, and the store's clock when
+// that was shown to be the newest; 0 when it never was.
 func (a *access) Current() (int64, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -131,13 +131,6 @@
 	a.config = max(a.config, revision)
 }
 
-// configured returns the revision of the newest configuration that was read; 0 when there is none.
-func (a *access) configured() int64 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.config
-}
-
 // direct reports whether the store may be called now: always after a call that was answered, and after one that was not
 // once in probePeriod. A host that makes no calls of its own must not pass on what an old call showed.
 func (a *access) direct() bool {
@@ -333,7 +326,8 @@
 
 // readFor makes a reading call to the store for a host that the store turns away.
 func (h *Host) readFor(ctx context.Context, r *peer.ReadRequest) *peer.ReadResponse {
-	without := &peer.ReadResponse{Away: true, Revision: h.store.configured()}
+	revision, _ := h.store.Current()
+	without := &peer.ReadResponse{Away: true, Revision: revision}
 	if !h.store.direct() {
 		return without
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,7 @@
 		}),
 	}
 	h.stop.began = make(chan struct{})
-	h.registry.tableCopy = newTableCopy(h.drainPart(endpointLife))
+	h.registry.tableCopy = newTableCopy(partOf(settings.Drain, endpointLife))
 	h.engines = platform.NewEngines(h.connections, settings.Name)
 	h.fleet = newFleet(cmp.Or(settings.Reachable, settings.Peers), settings.Domain)
 	h.store = &access{store: platform.NewStore(settings.Store), peers: h.targets, self: h.sender(), now: h.Now, trust: settings.Trust.Std()}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -164,28 +164,23 @@
 
 // followOperator follows the operator's configuration while no holder tells that it is current.
 func (h *Host) followOperator() error {
-	life := h.applyPart(operatorLife)
+	life := partOf(h.settings.Apply, operatorLife)
 	return h.follow(follower{
-		name: platform.OperatorTable, wait: h.operatorWait, replace: h.configure, change: h.configure, confirmed: h.store.Confirm,
+		name: platform.OperatorTable, wait: h.configurationWait, replace: h.configure, change: h.configure, confirmed: h.store.Confirm,
 		paused: func() time.Duration { return h.store.Relies(life) }, wake: h.changed,
 	})
 }
 
-// operatorWait returns how long a call for changes of the configuration may wait.
-func (h *Host) operatorWait() time.Duration {
+// configurationWait returns how long a call for changes of the configuration may wait.
+func (h *Host) configurationWait() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.holdings) > 0 {
-		return max(h.applyPart(operatorPart), leastWait)
+		return max(partOf(h.settings.Apply, operatorPart), leastWait)
 	}
 	return operatorWait
 }
 
-// applyPart returns a part of the time within which a change of the configuration must be in force.
-func (h *Host) applyPart(part float64) time.Duration {
-	return time.Duration(part * float64(h.settings.Apply.Std()))
-}
-
 // takeConfiguration takes what the holder tells of the configuration and has a newer one read at once.
 func (h *Host) takeConfiguration(told *peer.Changes) {
 	if told == nil || !h.store.Told(told.GetRevision(), time.Duration(told.GetClock())) {
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -6,6 +6,7 @@
 
 	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
+	"magnoliahoist/document"
 	"magnoliahoist/platform"
 	"magnoliahoist/table"
 )
@@ -37,7 +38,7 @@
 
 // followEndpoints follows the registrations of endpoints while no holder tells them.
 func (h *Host) followEndpoints() error {
-	wait := max(h.drainPart(endpointWait), leastWait)
+	wait := max(partOf(h.settings.Drain, endpointWait), leastWait)
 	f := h.copied(platform.EndpointTable, &h.registry.tableCopy, wait, h.registryRest, h.learnEndpoints)
 	f.lost = func() {
 		h.mu.Lock()
@@ -56,14 +57,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.holdings) > 0 {
-		return h.drainPart(holderRest)
+		return partOf(h.settings.Drain, holderRest)
 	}
-	return h.drainPart(endpointRest)
+	return partOf(h.settings.Drain, endpointRest)
 }
 
-// drainPart returns a part of the time after which a leaving endpoint gets no request.
-func (h *Host) drainPart(part float64) time.Duration {
-	return time.Duration(part * float64(h.settings.Drain.Std()))
+// partOf returns a part of a time that the settings name.
+func partOf(bound document.Duration, part float64) time.Duration {
+	return time.Duration(part * float64(bound.Std()))
 }
 
 // learnEndpoints takes rows that are new. The caller holds the lock.
@@ -119,7 +120,7 @@
 		h.log.Warn("entry: the process was held up", "for", late.String())
 	}
 	h.tidied = now
-	if h.directory.Sweep(h.Now()) {
+	if h.directory.Sweep(now) {
 		h.tellEndpoints()
 	}
 	h.apply(dispatch.Tick{}) // returns loans that have ended
