dispatch: ask the next lender after one that had nothing to lend

Cause: after a loan of no tokens handleLoanReceived advanced nextLender twice, once for the empty loan and once before it asked the next lender, so that of two lenders the same one was asked again and the other never. Seen in a scratch test as 'third, third', then a refusal. Change: the position is advanced once for each response.

--- a/dispatch/allowance.go
+++ b/dispatch/allowance.go
@@ -237,8 +237,6 @@
 	}
 	if e.Tokens > 0 {
 		a.ledger.Borrow(now, limit.Loan{ID: e.Loan, Lender: e.Lender, Tokens: e.Tokens, RequestedAt: e.RequestedAt})
-	} else {
-		a.borrowing.nextLender++
 	}
 	if !e.Responded {
 		a.silentUntil[e.Lender] = now + silentLenderPause
@@ -252,11 +250,14 @@
 		s.enqueue(now, r)
 	}
 	s.repay(e.Account, a.ledger.SpentLoans())
-	if len(s.awaitingTokensOf(e.Account)) == 0 {
+	sufficed := len(s.awaitingTokensOf(e.Account)) == 0
+	if e.Tokens == 0 || !sufficed {
+		a.borrowing.nextLender++
+	}
+	if sufficed {
 		a.borrowing.active = false
 		return
 	}
-	a.borrowing.nextLender++
 	s.borrowFromNextLender(now, e.Account, a)
 }
 
--- a/dispatch/allowance_test.go
+++ b/dispatch/allowance_test.go
@@ -166,3 +166,31 @@
 	_, refused := findRefusal(effects)
 	qt.Check(t, refused, qt.IsTrue, qt.Commentf("%v", effects))
 }
+
+// TestAllowanceNextLender guards against passing over a lender after one that had nothing to lend: of two lenders the other
+// one would never be asked, and requests within the account's rate would be refused.
+func TestAllowanceNextLender(t *testing.T) {
+	h := newHarness(t)
+	d := newDocument(2)
+	d.Accounts[0].Rate, d.Accounts[0].Burst = 1000, 36_000 // a burst that is divided among three hosts
+	h.apply(dispatch.ConfigurationChanged{Catalog: catalog.New(d)})
+	h.apply(dispatch.MembersChanged{Members: []dispatch.Member{{Name: "self", ID: "self"}, {Name: "peer", ID: "peer"}, {Name: "third", ID: "third"}}})
+	h.arrive("/draft/1", intake.Generation{Model: "m", PromptTokens: 11_900, MaxOutputTokens: 100}) // takes this host's part of the burst
+	_, effects := h.arrive("/stamp/1", intake.ServiceCall{})
+	var asked []string
+	for borrow, found := findLoanRequest(effects); found; borrow, found = findLoanRequest(effects) {
+		asked = append(asked, borrow.Lender.ID)
+		effects = h.apply(dispatch.LoanReceived{Account: "yards", Loan: borrow.Loan, Lender: borrow.Lender.ID, RequestedAt: borrow.RequestedAt, Responded: true})
+	}
+	qt.Check(t, asked, qt.ContentEquals, []string{"peer", "third"})
+}
+
+// findLoanRequest returns the first request for a loan among effects and whether there is one.
+func findLoanRequest(effects []dispatch.Effect) (dispatch.RequestLoan, bool) {
+	for _, e := range effects {
+		if borrow, ok := e.(dispatch.RequestLoan); ok {
+			return borrow, true
+		}
+	}
+	return dispatch.RequestLoan{}, false
+}
