residency: keep an engine open for adapters that were refused

Cause: an engine refuses orders for adapters while it changes a model. Change: hosts report the adapters that no engine could load; for each, one engine of its model takes no model order until the adapter is loaded or no longer asked for. An adapter waits for one model change at most.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -45,6 +46,7 @@
 	// canOrderAdapters says whether an order to load an adapter can be placed now.
 	canOrderAdapters bool
 	promptDemand     map[string]float64 // by model: prompt tokens of the requests since the last TakeDemand
+	unservedAdapters map[Adapter]bool   // adapters of requests that were refused since the last TakeUnserved because no endpoint could load them
 }
 
 // New returns the state machine of a host that has no configuration and knows no endpoint.
@@ -146,7 +148,7 @@
 func (s *State) poolByName(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{spec: catalog.Pool{Name: name}, byID: map[string]*endpoint{}, queue: queue.New(), promptDemand: map[string]float64{}}
+		p = &pool{spec: catalog.Pool{Name: name}, byID: map[string]*endpoint{}, queue: queue.New(), promptDemand: map[string]float64{}, unservedAdapters: map[Adapter]bool{}}
 		s.pools[name] = p
 	}
 	return p
@@ -213,6 +215,20 @@
 	return demand
 }
 
+// TakeUnserved returns the adapters of the requests that were refused since the last call because no endpoint of the pool
+// could load them.
+func (s *State) TakeUnserved(name string) []Adapter {
+	p := s.pools[name]
+	if p == nil || len(p.unservedAdapters) == 0 {
+		return nil
+	}
+	list := slices.SortedFunc(maps.Keys(p.unservedAdapters), func(a, b Adapter) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	clear(p.unservedAdapters)
+	return list
+}
+
 // TakeLoads returns the load that this host puts on the endpoints of a pool, and the adapters that its attempts have used since
 // the last call. It returns nil for an unknown pool and leaves out endpoints without any.
 func (s *State) TakeLoads(now time.Duration, name string) []Load {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -72,10 +72,14 @@
 		return
 	}
 	s.requests[a.Number] = r
-	if g, ok := a.Request.Work.(intake.Generation); ok {
+	g, isGeneration := a.Request.Work.(intake.Generation)
+	if isGeneration {
 		r.pool.promptDemand[g.Model] += float64(g.PromptTokens)
 	}
 	if s.noEndpointHoldsModel(now, r) {
+		if isGeneration && g.Adapter != "" {
+			r.pool.unservedAdapters[Adapter{g.Model, g.Adapter}] = true
+		}
 		s.refuse(now, r, NoModel, noModelRetryAfter)
 		return
 	}
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -24,13 +24,13 @@
 	h.mu.Unlock()
 	for _, pool := range pools {
 		h.mu.Lock()
-		demand, loads := h.state.TakeDemand(pool), h.state.TakeLoads(h.Now(), pool)
+		use := poolUse{demand: h.state.TakeDemand(pool), loads: h.state.TakeLoads(h.Now(), pool), unserved: h.state.TakeUnserved(pool)}
 		endpointsAfter, membersAfter := h.registry.revision, h.fleet.rows.revision
 		h.mu.Unlock()
 		holder := h.holderOf(pool)
 		h.updateOrderable(pool)
 		if holder == h.fleet.self.ID {
-			others, _ := h.recordLoads(pool, holder, demand, loads)
+			others, _ := h.recordUse(pool, holder, use)
 			h.Apply(dispatch.LoadsReported{Pool: pool, Loads: others})
 			continue
 		}
@@ -40,7 +40,7 @@
 			continue
 		}
 		request := &peer.SummaryRequest{
-			Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool, Demands: demandsToWire(demand), Loads: loadsToWire(loads),
+			Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool, Demands: demandsToWire(use.demand), Loads: loadsToWire(use.loads), Unserved: adaptersToWire(use.unserved),
 			EndpointsAfter: endpointsAfter, MembersAfter: membersAfter,
 		}
 		h.spawn(func(ctx context.Context) {
@@ -112,10 +112,17 @@
 	}
 }
 
-// recordLoads records a host's demand and load for a pool. It returns the load of all other hosts, with the notices
+// poolUse is what one host reports of its callers' use of a pool.
+type poolUse struct {
+	demand   map[string]float64 // prompt tokens by model
+	loads    []dispatch.Load
+	unserved []dispatch.Adapter // adapters that no endpoint could load
+}
+
+// recordUse records a host's use of a pool. It returns the load of all other hosts, with the notices
 // about engines that registrations don't contain. It returns false if this host does not hold the lease or if the lease
 // expired while the machine was suspended.
-func (h *Host) recordLoads(pool, from string, demand map[string]float64, loads []dispatch.Load) ([]dispatch.Load, bool) {
+func (h *Host) recordUse(pool, from string, use poolUse) ([]dispatch.Load, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.holdings[pool]
@@ -123,14 +130,17 @@
 		return nil, false
 	}
 	now := h.Now()
-	held.planner.AddDemand(now, demand)
-	for _, l := range loads {
+	held.planner.AddDemand(now, use.demand)
+	for _, a := range use.unserved {
+		held.planner.RecordUnserved(now, a.Model, a.Adapter)
+	}
+	for _, l := range use.loads {
 		for _, a := range l.UsedAdapters {
 			held.planner.RecordAdapterUse(now, l.Endpoint, a.Model, a.Adapter)
 		}
 	}
 	h.markHeard(from)
-	return addNotices(held.loads.Exchange(now, from, loads), held.planner.Notices(now)), true
+	return addNotices(held.loads.Exchange(now, from, use.loads), held.planner.Notices(now)), true
 }
 
 // addNotices adds the planner's notices about engines to the load.
@@ -167,9 +177,7 @@
 	list := make([]*peer.EndpointLoad, 0, len(loads))
 	for _, l := range loads {
 		wire := &peer.EndpointLoad{Endpoint: l.Endpoint, Running: int64(l.Running), Backlog: l.Backlog[:], Retiring: l.Retiring, Loading: l.Loading}
-		for _, a := range l.UsedAdapters {
-			wire.Holdings = append(wire.Holdings, &peer.Holding{Model: a.Model, Adapters: []string{a.Adapter}})
-		}
+		wire.Holdings = adaptersToWire(l.UsedAdapters)
 		list = append(list, wire)
 	}
 	return list
@@ -180,12 +188,26 @@
 	for _, w := range wire {
 		l := dispatch.Load{Endpoint: w.GetEndpoint(), Running: int(w.GetRunning()), Retiring: w.GetRetiring(), Loading: w.GetLoading()}
 		copy(l.Backlog[:], w.GetBacklog())
-		for _, held := range w.GetHoldings() {
-			for _, adapter := range held.GetAdapters() {
-				l.UsedAdapters = append(l.UsedAdapters, dispatch.Adapter{Model: held.GetModel(), Adapter: adapter})
-			}
-		}
+		l.UsedAdapters = adaptersFromWire(w.GetHoldings())
 		list = append(list, l)
 	}
 	return list
 }
+
+func adaptersToWire(adapters []dispatch.Adapter) []*peer.Holding {
+	list := make([]*peer.Holding, 0, len(adapters))
+	for _, a := range adapters {
+		list = append(list, &peer.Holding{Model: a.Model, Adapters: []string{a.Adapter}})
+	}
+	return list
+}
+
+func adaptersFromWire(wire []*peer.Holding) []dispatch.Adapter {
+	var list []dispatch.Adapter
+	for _, held := range wire {
+		for _, adapter := range held.GetAdapters() {
+			list = append(list, dispatch.Adapter{Model: held.GetModel(), Adapter: adapter})
+		}
+	}
+	return list
+}
--- a/entry/loadexchange_test.go
+++ b/entry/loadexchange_test.go
@@ -33,7 +33,7 @@
 			poolLease.Observe(began, began, lease.Record{}, 0, 0)
 			_, row, _ := poolLease.NextWrite(began)
 			poolLease.RecordWrite(row, 1, true)
-			_, held := h.recordLoads(pool, "other", nil, nil)
+			_, held := h.recordUse(pool, "other", poolUse{})
 			qt.Check(t, held, qt.Equals, test.want)
 		})
 	}
--- a/entry/peerservice.go
+++ b/entry/peerservice.go
@@ -35,7 +35,8 @@
 // Summary records the demand and load of another host and returns the load of the others, with the table changes that
 // the caller lacks.
 func (s *peerService) Summary(_ context.Context, r *peer.SummaryRequest) (*peer.SummaryResponse, error) {
-	loads, held := s.host.recordLoads(r.GetPool(), r.GetHeader().GetFrom(), demandsFromWire(r.GetDemands()), loadsFromWire(r.GetLoads()))
+	use := poolUse{demand: demandsFromWire(r.GetDemands()), loads: loadsFromWire(r.GetLoads()), unserved: adaptersFromWire(r.GetUnserved())}
+	loads, held := s.host.recordUse(r.GetPool(), r.GetHeader().GetFrom(), use)
 	if !held {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
 	}
--- a/residency/candidate.go
+++ b/residency/candidate.go
@@ -30,9 +30,10 @@
 // processor.
 func (p *Planner) candidates(now time.Duration, replicas map[string]replicaCount) []*candidate {
 	var list []*candidate
+	reserved := p.reservedEngines(now)
 	for _, id := range p.ids {
 		e := p.engines[id]
-		if e.Leaving || e.busy() || !e.synced || now < e.retryAt || e.nextModel != "" {
+		if e.Leaving || e.busy() || !e.synced || now < e.retryAt || e.nextModel != "" || reserved[id] {
 			continue
 		}
 		c := &candidate{engine: e, freeWeights: p.freeMemory(e)}
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -70,14 +70,15 @@
 	loadTokens      float64            // loads from the weight store that may begin now
 	refilledAt      time.Duration      // when loadTokens was last refilled
 	outcomes        []AdapterOutcome
-	placedAt        time.Duration // last placement pass
-	registryKnownAt time.Duration // when the host began to follow the registry
-	lastSurge       time.Duration // last update in which more than surgeShare of the engines appeared
+	unserved        map[adapterKey]time.Duration // adapters that callers asked for and that no engine could load, with the time of the last request
+	placedAt        time.Duration                // last placement pass
+	registryKnownAt time.Duration                // when the host began to follow the registry
+	lastSurge       time.Duration                // last update in which more than surgeShare of the engines appeared
 }
 
 // New returns a planner without engines. The host has followed the registry since registryKnownAt.
 func New(now, registryKnownAt time.Duration) *Planner {
-	return &Planner{engines: map[string]*engine{}, demand: map[string]float64{}, demandAt: now, refilledAt: now, placedAt: now - placementInterval, registryKnownAt: registryKnownAt, lastSurge: registryKnownAt}
+	return &Planner{engines: map[string]*engine{}, demand: map[string]float64{}, unserved: map[adapterKey]time.Duration{}, demandAt: now, refilledAt: now, placedAt: now - placementInterval, registryKnownAt: registryKnownAt, lastSurge: registryKnownAt}
 }
 
 // SetPool replaces the pool's configuration.
@@ -174,6 +175,7 @@
 	if e == nil || e.models[model] == nil {
 		return
 	}
+	delete(p.unserved, adapterKey{model, adapter})
 	if _, held := e.models[model].lastUse[adapter]; held {
 		e.models[model].lastUse[adapter] = now
 	}
@@ -326,6 +328,7 @@
 		if loaded := e.models[o.Model]; loaded != nil {
 			loaded.lastUse[o.Adapter] = now
 		}
+		delete(p.unserved, adapterKey{o.Model, o.Adapter})
 		p.settleRequests(e, o, true)
 	case UnloadAdapter:
 		if loaded := e.models[o.Model]; loaded != nil {
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -365,3 +365,29 @@
 	}
 	qt.Check(t, sim.engines[0].models["m1"], qt.DeepEquals, []string{"a1", "a2"})
 }
+
+// TestUnservedAdapter guards against an adapter that is not loaded for long because the only engine of its model changes its
+// other models one after the other. Callers may wait for one model change, 1.5 s to unload and 8 s to load here, and return
+// after 1.5 s.
+func TestUnservedAdapter(t *testing.T) {
+	sim := newSimulation(newSimEngine("e1", "m1", "m2", "m3"), newSimEngine("e2", "m2", "m3", "m4"), newSimEngine("e3", "m2", "m3", "m5"))
+	const bound = 1500*time.Millisecond + 8*time.Second + 1500*time.Millisecond
+	sim.run(3*time.Second, nil)
+	longest, servedAt, served := time.Duration(0), sim.now, 0
+	for turn := 0; sim.now < 3*time.Minute; turn++ {
+		// Demand moves on before the models that it needs have been loaded.
+		hot := fmt.Sprint("m", 2+turn/3%5)
+		sim.requestAdapter("e1", "m1", fmt.Sprint("a", turn%9))
+		sim.run(1500*time.Millisecond, map[string]float64{hot: 90_000, "m1": 300})
+		for _, outcome := range sim.planner.TakeOutcomes() {
+			if outcome.Loaded {
+				served++
+				servedAt = sim.now
+				continue
+			}
+			sim.planner.RecordUnserved(sim.now, outcome.Request.Model, outcome.Request.Adapter)
+		}
+		longest = max(longest, sim.now-servedAt)
+	}
+	qt.Check(t, longest <= bound, qt.IsTrue, qt.Commentf("no adapter was loaded for %v, %d were loaded", longest, served))
+}
