entry, lease: deputies and stages of succession; store calls no longer grow with all hosts at once

The exchange with the holder was started every 0.2 s whether or not the last one had ended, and the holder was as likely as not a host with a link of 25 Mbit/s. Change: hosts acquire a free lease in stages, strong ones first, each stage with twice as many hosts as the one before (lease.Succession). While a holder does not respond, its three deputies follow the tables, the others exchange with them and learn the new holder from them. Calls refused with 429 are repeated after random pauses. One exchange at a time, 0.8 s each. A new holder asks for 40 reports in 250 ms. A host and a holder whose calls end in phase no longer both follow a table for good. store_calls_total has labels for kind and table. New settings share and link. TestPlatformCallsInCalm failed on the way and found the calls in phase.

--- a/config/entry.go
+++ b/config/entry.go
@@ -35,6 +35,8 @@
 	Operators         string            `json:"operators"` // listener for metrics and status
 	Store             string            `json:"store"`     // address of the platform's store
 	MemoryMB          int64             `json:"memory"`    // memory limit of the process, in megabytes
+	ProcessorShare    float64           `json:"share"`     // of a processor core that the process may use; 0 if unknown
+	LinkMbps          float64           `json:"link"`      // bandwidth of the host's link, in megabits per second; 0 if unknown
 	ShutdownGrace     document.Duration `json:"grace"`     // longest time from SIGTERM to the end of the process
 	HandoverGap       document.Duration `json:"lease"`     // least time between the orders of two successive lease holders
 	DrainLimit        document.Duration `json:"drain"`     // time after which an endpoint that has announced that it shuts down must get no requests
@@ -123,6 +125,8 @@
 		c.Require(err == nil, "reachable", e.AdvertisedAddress, "an IP number with a port")
 	}
 	c.Require(e.MemoryMB >= 32 && e.MemoryMB <= 1<<20, "memory", e.MemoryMB, "32 to 1048576 megabytes")
+	c.Require(e.ProcessorShare >= 0 && e.ProcessorShare <= 1024, "share", e.ProcessorShare, "0 to 1024 cores")
+	c.Require(e.LinkMbps >= 0 && e.LinkMbps <= 1e6, "link", e.LinkMbps, "0 to 1000000 megabits per second")
 	c.Require(e.ShutdownGrace > 0, "grace", e.ShutdownGrace, e.ShutdownGrace.Allowed())
 	c.Require(e.HandoverGap > 0, "lease", e.HandoverGap, e.HandoverGap.Allowed())
 	c.Require(e.DrainLimit > 0, "drain", e.DrainLimit, e.DrainLimit.Allowed())
--- a/config/entry_test.go
+++ b/config/entry_test.go
@@ -28,6 +28,8 @@
 		"unknown log level":    {`"name"`, `"log":{"level":"loud"},"name"`, "log.level"},
 		"drain of 0s":          {`"name"`, `"drain":"0s","name"`, "drain"},
 		"apply of 0s":          {`"name"`, `"apply":"0s","name"`, "apply"},
+		"negative link":        {`"name"`, `"link":-1,"name"`, "link"},
+		"share of no number":   {`"name"`, `"share":"half","name"`, "share"},
 		"too little memory":    {`"name"`, `"memory":1,"name"`, "memory"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +50,7 @@
 	text := string(data)
 	for placeholder, value := range map[string]string{
 		"{{node|json}}": `"front-1"`, "{{zone|json}}": `"fukuoka"`, "{{listen.front|json}}": `"10.1.0.25:8221"`, "{{listen.ready|json}}": `"10.1.0.25:8224"`,
-		"{{ip}}": "10.1.0.25", "{{port_range.0}}": "7600", "{{provider.address|json}}": `"10.200.1.7:8225"`, "{{limits.memory_mb}}": "284",
+		"{{ip}}": "10.1.0.25", "{{port_range.0}}": "7600", "{{provider.address|json}}": `"10.200.1.7:8225"`, "{{limits.memory_mb}}": "284", "{{limits.cpu_share}}": "0.4", "{{limits.link_mbps}}": "1000.0",
 		"{{limits.max_fds}}": "4100", "{{bounds.grace_s}}": "8", "{{bounds.lease_ms}}": "3000", "{{bounds.drain_ms}}": "2000", "{{bounds.config_apply_ms}}": "2000", "{{bounds.retry_ratio}}": "0.2",
 		"{{bounds.retry_slack}}": "52", "{{bounds.budget_window_s}}": "10", "{{bounds.ceiling_window_s}}": "5", "{{bounds.origin_excess}}": "1.1",
 	} {
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -18,7 +18,7 @@
 	// endpointWaitFraction is for a call for changes that waits at the store until there are some.
 	endpointWaitFraction = 0.25
 	// endpointBatchFraction is for the pause after a change, so that further changes arrive in one call;
-	// holderBatchFraction is the same for a lease holder, which reports changes to the other hosts.
+	// holderBatchFraction is the same for a lease holder or deputy, which reports changes to the other hosts.
 	endpointBatchFraction = 0.25
 	holderBatchFraction   = 0.1
 	// endpointValidityFraction is how long hosts rely on a lease holder's report, from its confirmation time. It is
@@ -41,7 +41,7 @@
 // followEndpoints follows the registrations of endpoints in the store while no lease holder reports their changes.
 func (h *Host) followEndpoints() error {
 	wait := max(fractionOf(h.settings.DrainLimit, endpointWaitFraction), minStoreWait)
-	f := h.copyFollower(platform.EndpointTable, &h.registry.tableCopy, wait, h.registryBatchDelay, h.applyEndpointRows)
+	f := h.copyFollower(platform.EndpointTable, &h.registry.tableCopy, wait, h.registryBatchDelay, h.endpointsWake, h.applyEndpointRows)
 	f.onLost = func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -58,7 +58,7 @@
 func (h *Host) registryBatchDelay() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.holdings) > 0 {
+	if len(h.holdings) > 0 || h.actsAsDeputy() {
 		return fractionOf(h.settings.DrainLimit, holderBatchFraction)
 	}
 	return fractionOf(h.settings.DrainLimit, endpointBatchFraction)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,7 +56,9 @@
 	tickPending   bool                // a tick of the state machine is scheduled
 	lastSweep     time.Duration       // last run of sweep
 	planWake      chan struct{}       // wakes runHolder before its next period
-	configChanged chan struct{}       // a lease holder has reported a newer configuration
+	configChanged chan struct{}       // wakes followConfiguration: a newer configuration was reported, or this host is a deputy
+	endpointsWake chan struct{}       // wakes followEndpoints: this host is a deputy
+	membersWake   chan struct{}       // wakes followFleet: this host is a deputy
 	engines       *platform.EngineClient
 
 	catalog    atomic.Pointer[catalog.Catalog]
@@ -87,6 +89,8 @@
 		orderable:     map[string]bool{},
 		planWake:      make(chan struct{}, 1),
 		configChanged: make(chan struct{}, 1),
+		endpointsWake: make(chan struct{}, 1),
+		membersWake:   make(chan struct{}, 1),
 		connections: connection.New(connection.Settings{
 			ConnectTimeout: connectTimeout,
 			IdleTimeout:    defaultIdleTimeout,
@@ -103,10 +107,12 @@
 	h.stopSignal.began = make(chan struct{})
 	h.registry.tableCopy = newTableCopy(fractionOf(settings.DrainLimit, endpointValidityFraction))
 	h.engines = platform.NewEngineClient(h.connections, settings.Name)
-	h.fleet = newFleet(cmp.Or(settings.AdvertisedAddress, settings.Peers), settings.Domain)
+	h.fleet = newFleet(cmp.Or(settings.AdvertisedAddress, settings.Peers), settings.Domain, settings.ProcessorShare*settings.LinkMbps)
 	h.store = &storeAccess{store: platform.NewStore(settings.Store), otherHosts: h.otherHosts, self: h.sender(), now: h.Now, maxSilence: settings.MaxStoreSilence.Std()}
 	h.metrics = newMetrics(h)
-	h.store.countCall = func(way string, err error) { h.metrics.store.WithLabelValues(way, resultLabel(err)).Inc() }
+	h.store.countCall = func(c storeCall, err error) {
+		h.metrics.store.WithLabelValues(c.way, c.kind, c.table, resultLabel(err)).Inc()
+	}
 	return h
 }
 
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -37,7 +37,7 @@
 	// memberWait is how long a call for changes of the members may wait at the store; memberBatchDelay is the pause
 	// after a change, so that further changes arrive in one call.
 	memberWait       = 2 * time.Second
-	memberBatchDelay = 200 * time.Millisecond
+	memberBatchDelay = 500 * time.Millisecond
 	// memberValidity is how long hosts rely on a lease holder's report about members, from its confirmation time. It is
 	// above memberWait, memberBatchDelay and loadExchangeInterval together, and far below memberTimeout.
 	memberValidity = 4 * time.Second
@@ -47,9 +47,10 @@
 
 // member is the row of a host. A process that restarts under the same name gets a new id.
 type member struct {
-	ID      string `json:"id"`
-	Address string `json:"address"` // of the listener for other hosts
-	Domain  string `json:"domain"`
+	ID      string  `json:"id"`
+	Address string  `json:"address"` // of the listener for other hosts
+	Domain  string  `json:"domain"`
+	Power   float64 `json:"power,omitempty"` // processor share times megabits per second of the host's link; 0 if unknown
 }
 
 // fleet is what this host knows of all hosts. The lock of Host guards it.
@@ -60,23 +61,32 @@
 	lastHeard         map[string]time.Duration       // by member id: time of the last load report; kept by lease holders
 	leases            map[string]*lease.RenewedLease // by pool
 	unresponsiveSince map[string]time.Duration       // by pool: time since boot from which the lease holder has not responded
+	namedHolders      map[string]string              // by pool: id of the lease holder that a deputy has named; absent if the lease's row says it
+	successions       map[string]lease.Succession    // by pool; empty after a change of the members
+	exchangeTurns     map[string]int                 // by pool: exchanges since the start while the lease holder did not respond
+	exchanging        map[string]bool                // by pool: an exchange of load is under way
 	leasesReadAt      time.Duration                  // time since boot of the last read of the leases
 	loaded            bool                           // the fleet table was read
+	presentAt         time.Duration                  // when the host's own row was first seen
 	rows              tableCopy
 	secret            string
 	server            http.Handler // for other hosts; nil until the secret is known
 	client            *peer.Client
 }
 
-func newFleet(address, domain string) fleet {
+func newFleet(address, domain string, power float64) fleet {
 	return fleet{
-		self:              member{ID: randomHex(idBytes), Address: address, Domain: domain},
+		self:              member{ID: randomHex(idBytes), Address: address, Domain: domain, Power: power},
 		members:           map[string]member{},
 		revisions:         map[string]int64{},
 		lastHeard:         map[string]time.Duration{},
 		leases:            map[string]*lease.RenewedLease{},
 		unresponsiveSince: map[string]time.Duration{},
-		leasesReadAt:      -leaseReadInterval,
+		namedHolders:      map[string]string{},
+		successions:       map[string]lease.Succession{},
+		exchangeTurns:     map[string]int{},
+		exchanging:        map[string]bool{},
+		leasesReadAt:      -maxLeaseReadInterval,
 		rows:              newTableCopy(memberValidity),
 	}
 }
@@ -89,12 +99,13 @@
 
 // followFleet follows the hosts' rows in the store while no lease holder reports their changes.
 func (h *Host) followFleet() error {
-	return h.follow(h.copyFollower(fleetTable, &h.fleet.rows, memberWait, func() time.Duration { return memberBatchDelay }, h.applyFleetRows))
+	return h.follow(h.copyFollower(fleetTable, &h.fleet.rows, memberWait, func() time.Duration { return memberBatchDelay }, h.membersWake, h.applyFleetRows))
 }
 
 // applyFleetRows applies changed rows of the fleet table. The caller holds the lock.
 func (h *Host) applyFleetRows(rows []table.Row) {
 	h.fleet.loaded = true
+	clear(h.fleet.successions)
 	for _, row := range rows {
 		switch {
 		case strings.HasPrefix(row.Key, memberPrefix):
@@ -116,6 +127,9 @@
 		h.log.Warn("entry: unable to decode a member", "name", name, "error", err)
 		return
 	}
+	if m == h.fleet.self && h.fleet.presentAt == 0 {
+		h.fleet.presentAt = h.Now()
+	}
 	if h.fleet.members[name] != m {
 		h.log.Info("entry: member added or changed", "name", name, "id", m.ID, "address", m.Address, "revision", row.Revision)
 	}
@@ -148,15 +162,25 @@
 	h.apply(e)
 }
 
+// secretDue reports whether this host must create the secret because there is none. The hosts do so in the order of a
+// succession, so that a fleet that starts for the first time does not write it once for each host. The caller holds the lock.
+func (h *Host) secretDue() bool {
+	if h.fleet.secret != "" {
+		return false
+	}
+	stage := lease.NewSuccession(secretKey, h.fleet.candidates()).Stage(h.settings.Name)
+	return h.Now()-h.fleet.presentAt >= time.Duration(stage)*memberWriteInterval
+}
+
 // registerSelf writes the host's own row if it is missing, and the secret if there is none. It runs until the host
 // stops.
 func (h *Host) registerSelf() error {
 	for {
 		h.mu.Lock()
 		loaded, present := h.fleet.loaded, h.fleet.members[h.settings.Name] == h.fleet.self
-		secret := h.fleet.secret
+		createSecret := present && h.secretDue()
 		h.mu.Unlock()
-		if loaded && secret == "" {
+		if createSecret {
 			h.writeRows(table.Txn{
 				Compares: []table.Compare{{Key: secretKey}},
 				Writes:   []table.Write{{Key: secretKey, Value: []byte(randomHex(secretBytes))}},
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -171,7 +171,15 @@
 	validity := fractionOf(h.settings.ApplyLimit, configValidityFraction)
 	return h.follow(follower{
 		name: platform.OperatorTable, wait: h.configurationWait, replace: h.applyConfiguration, change: h.applyConfiguration, onConfirmed: h.store.ConfirmConfig,
-		pauseFor: func() time.Duration { return h.store.HolderValidFor(validity) }, wake: h.configChanged,
+		wake: h.configChanged,
+		pauseFor: func() time.Duration {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if h.actsAsDeputy() {
+				return 0
+			}
+			return h.store.HolderValidFor(validity)
+		},
 	})
 }
 
@@ -179,7 +187,7 @@
 func (h *Host) configurationWait() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.holdings) > 0 {
+	if len(h.holdings) > 0 || h.actsAsDeputy() {
 		return max(fractionOf(h.settings.ApplyLimit, holderConfigWaitFraction), minStoreWait)
 	}
 	return configWait
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -22,8 +22,13 @@
 	// handoverMargin is added to the minimum time between orders of two hosts (setting "lease"), for network delay and
 	// clock drift.
 	handoverMargin = 400 * time.Millisecond
-	// leaseReadInterval is the minimum time between reads of the leases while a holder does not respond.
-	leaseReadInterval = 500 * time.Millisecond
+	// leaseReadInterval is the minimum time between a deputy's reads of the leases while a holder does not respond.
+	// It doubles with each later stage of the succession, up to maxLeaseReadInterval.
+	leaseReadInterval    = 250 * time.Millisecond
+	maxLeaseReadInterval = 4 * time.Second
+	// leaseStageDelay is by how much later each stage of the succession acquires a free lease. It is above
+	// leaseReadInterval, so that a stage has read the row before the next one may write it.
+	leaseStageDelay = 300 * time.Millisecond
 	// planInterval is how often a holder plans the orders of its pools.
 	planInterval = 100 * time.Millisecond
 )
@@ -76,6 +81,7 @@
 	now := sinceBoot()
 	poolLease := h.leaseOf(pool)
 	if h.fleet.client != nil && !h.stopping() {
+		poolLease.SetStage(h.stageOf(pool))
 		if action, row, revision := poolLease.NextWrite(now); action != lease.NoWrite {
 			h.spawn(func(ctx context.Context) { h.writeLease(ctx, pool, poolLease, action, row, revision) })
 		}
@@ -91,7 +97,7 @@
 func (h *Host) leaseOf(pool string) *lease.RenewedLease {
 	poolLease := h.fleet.leases[pool]
 	if poolLease == nil {
-		settings := lease.RenewalSettings{RenewInterval: leaseRenewInterval, HoldDuration: leaseHoldDuration, HandoverGap: h.settings.HandoverGap.Std() + handoverMargin}
+		settings := lease.RenewalSettings{RenewInterval: leaseRenewInterval, HoldDuration: leaseHoldDuration, HandoverGap: h.settings.HandoverGap.Std() + handoverMargin, StageDelay: leaseStageDelay}
 		poolLease = lease.NewRenewedLease(settings, h.fleet.self.ID)
 		h.fleet.leases[pool] = poolLease
 	}
@@ -126,13 +132,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := sinceBoot()
-	if now-h.fleet.leasesReadAt < leaseReadInterval {
-		return false
-	}
 	for _, pool := range h.enginePools() {
 		poolLease := h.leaseOf(pool)
-		_, unresponsive := h.fleet.unresponsiveSince[pool]
-		if !poolLease.RowKnown() || !poolLease.MayAct(now) && (poolLease.Holder() == "" || poolLease.Holder() == h.fleet.self.ID || unresponsive) {
+		if now-h.fleet.leasesReadAt < leaseReadPause(h.stageOf(pool)) {
+			continue
+		}
+		if !poolLease.RowKnown() || !poolLease.MayAct(now) && h.respondingHolder(pool) == "" {
 			h.fleet.leasesReadAt = now
 			return true
 		}
@@ -153,6 +158,7 @@
 	poolLease.Observe(startedAt, sinceBoot(), content, row.Revision, clock)
 	if poolLease.Holder() != before {
 		delete(h.fleet.unresponsiveSince, pool)
+		delete(h.fleet.namedHolders, pool)
 		h.log.Info("entry: lease holder changed", "pool", pool, "holder", poolLease.Holder(), "number", poolLease.FencingNumber(), "revision", row.Revision)
 	}
 }
@@ -287,8 +293,5 @@
 func (h *Host) holderOf(pool string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if poolLease := h.fleet.leases[pool]; poolLease != nil {
-		return poolLease.Holder()
-	}
-	return ""
+	return h.believedHolder(pool)
 }
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -18,47 +18,83 @@
 
 // exchangeLoads sends this host's demand and load to the lease holder of each pool and gets the load of the other
 // hosts.
-func (h *Host) exchangeLoads(ctx context.Context) {
+func (h *Host) exchangeLoads(context.Context) {
 	h.mu.Lock()
 	pools := h.enginePools()
 	h.mu.Unlock()
 	for _, pool := range pools {
-		h.mu.Lock()
-		use := poolUse{demand: h.state.TakeDemand(pool), loads: h.state.TakeLoads(h.Now(), pool), unserved: h.state.TakeUnserved(pool)}
-		endpointsAfter, membersAfter := h.registry.revision, h.fleet.rows.revision
-		h.mu.Unlock()
-		holder := h.holderOf(pool)
 		h.updateOrderable(pool)
-		if holder == h.fleet.self.ID {
-			others, _ := h.recordUse(pool, holder, use)
-			h.Apply(dispatch.LoadsReported{Pool: pool, Loads: others})
-			continue
-		}
-		client, to, known := h.peerByID(holder)
-		if !known {
-			h.recordHolderContact(pool, false)
-			continue
-		}
-		request := &peer.SummaryRequest{
-			Header: &peer.Header{From: h.fleet.self.ID}, Pool: pool, Demands: demandsToWire(use.demand), Loads: loadsToWire(use.loads), Unserved: adaptersToWire(use.unserved),
-			EndpointsAfter: endpointsAfter, MembersAfter: membersAfter,
-		}
-		h.spawn(func(ctx context.Context) {
-			response, err := client.ReportLoad(ctx, to, h.sender(), request)
-			h.recordHolderContact(pool, err == nil)
-			if err != nil {
-				h.log.Debug("entry: unable to exchange load with the lease holder", "pool", pool, "holder", holder, "error", err)
-				return
-			}
-			h.applyHolderChanges(holder, response)
-			h.noteConfiguration(response.GetConfiguration())
-			h.Apply(dispatch.LoadsReported{Pool: pool, Loads: loadsFromWire(response.GetLoads())})
-		})
-	}
-}
-
-// applyHolderChanges merges the changes of endpoints and hosts that a lease holder reports.
-func (h *Host) applyHolderChanges(holder string, response *peer.SummaryResponse) {
+		h.exchangePoolLoad(pool)
+	}
+}
+
+// exchangePoolLoad exchanges load for one pool. It does nothing while an earlier exchange has not ended, so that calls to a
+// slow host don't pile up; what is to be reported then waits for the next exchange.
+func (h *Host) exchangePoolLoad(pool string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fleet.exchanging[pool] {
+		return
+	}
+	if h.holdings[pool] != nil {
+		others, _ := h.recordUse(pool, h.fleet.self.ID, h.takeUse(pool))
+		h.apply(dispatch.LoadsReported{Pool: pool, Loads: others})
+		return
+	}
+	to, known := h.exchangeTarget(pool)
+	client := h.fleet.client
+	if !known || client == nil {
+		h.markUnresponsive(pool)
+		return
+	}
+	use := h.takeUse(pool)
+	request := &peer.SummaryRequest{
+		Pool: pool, Demands: demandsToWire(use.demand), Loads: loadsToWire(use.loads), Unserved: adaptersToWire(use.unserved),
+		EndpointsAfter: h.registry.revision, MembersAfter: h.fleet.rows.revision, Deputies: true,
+	}
+	h.fleet.exchanging[pool] = true
+	asHolder := to.ID == h.believedHolder(pool)
+	h.spawn(func(ctx context.Context) {
+		response, err := client.ReportLoad(ctx, to, h.sender(), request)
+		h.handleExchange(pool, to.ID, asHolder, response, err)
+	})
+}
+
+// takeUse returns this host's use of a pool since the last call. The caller holds the lock.
+func (h *Host) takeUse(pool string) poolUse {
+	return poolUse{demand: h.state.TakeDemand(pool), loads: h.state.TakeLoads(h.Now(), pool), unserved: h.state.TakeUnserved(pool)}
+}
+
+// handleExchange applies the response of a lease holder or deputy, which is the host with the id from. asHolder says that
+// this host took it for the lease holder when it sent the request.
+func (h *Host) handleExchange(pool, from string, asHolder bool, response *peer.SummaryResponse, err error) {
+	h.mu.Lock()
+	delete(h.fleet.exchanging, pool)
+	if asHolder && from == h.believedHolder(pool) && (err != nil || response.GetDeputy()) {
+		h.markUnresponsive(pool)
+	}
+	h.mu.Unlock()
+	if err != nil {
+		h.log.Debug("entry: unable to exchange load", "pool", pool, "with", from, "error", err)
+		return
+	}
+	h.applyReportedChanges(from, response)
+	h.noteConfiguration(response.GetConfiguration())
+	if response.GetDeputy() {
+		h.noteDeputyResponse(pool, from, response.GetHolder())
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if from != h.believedHolder(pool) {
+		h.fleet.namedHolders[pool] = from // a deputy that has acquired the lease since
+	}
+	delete(h.fleet.unresponsiveSince, pool)
+	h.apply(dispatch.LoadsReported{Pool: pool, Loads: loadsFromWire(response.GetLoads())})
+}
+
+// applyReportedChanges merges the changes of endpoints and hosts that a lease holder or deputy reports.
+func (h *Host) applyReportedChanges(holder string, response *peer.SummaryResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.mergeHolderChanges(platform.EndpointTable, &h.registry.tableCopy, holder, response.GetEndpoints(), h.applyEndpointRows) {
@@ -89,29 +125,14 @@
 func (h *Host) updateOrderable(pool string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	poolLease := h.leaseOf(pool)
-	_, unresponsive := h.fleet.unresponsiveSince[pool]
-	possible := h.holdings[pool] != nil || poolLease.Holder() != "" && poolLease.Holder() != h.fleet.self.ID && !unresponsive
+	possible := h.respondingHolder(pool) != ""
 	if possible != h.orderable[pool] {
 		h.orderable[pool] = possible
-		h.log.Info("entry: availability of adapter orders changed", "pool", pool, "possible", possible, "holder", poolLease.Holder())
+		h.log.Info("entry: availability of adapter orders changed", "pool", pool, "possible", possible, "holder", h.believedHolder(pool))
 		h.apply(dispatch.AdapterOrdersChanged{Pool: pool, Possible: possible})
 	}
 }
 
-// recordHolderContact records whether the holder of a pool's lease responded.
-func (h *Host) recordHolderContact(pool string, responded bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if responded {
-		delete(h.fleet.unresponsiveSince, pool)
-		return
-	}
-	if _, unresponsive := h.fleet.unresponsiveSince[pool]; !unresponsive {
-		h.fleet.unresponsiveSince[pool] = sinceBoot()
-	}
-}
-
 // poolUse is what one host reports of its callers' use of a pool.
 type poolUse struct {
 	demand   map[string]float64 // prompt tokens by model
@@ -121,10 +142,8 @@
 
 // recordUse records a host's use of a pool. It returns the load of all other hosts, with the notices
 // about engines that registrations don't contain. It returns false if this host does not hold the lease or if the lease
-// expired while the machine was suspended.
+// expired while the machine was suspended. The caller holds the lock.
 func (h *Host) recordUse(pool, from string, use poolUse) ([]dispatch.Load, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	held := h.holdings[pool]
 	if held == nil || !h.leaseOf(pool).MayAct(sinceBoot()) {
 		return nil, false
--- a/entry/loadexchange_test.go
+++ b/entry/loadexchange_test.go
@@ -33,6 +33,8 @@
 			poolLease.Observe(began, began, lease.Record{}, 0, 0)
 			_, row, _ := poolLease.NextWrite(began)
 			poolLease.RecordWrite(row, 1, true)
+			h.mu.Lock()
+			defer h.mu.Unlock()
 			_, held := h.recordUse(pool, "other", poolUse{})
 			qt.Check(t, held, qt.Equals, test.want)
 		})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -54,7 +54,7 @@
 	m.refused = counter("refusals_total", "Answers of the host's own, by reason and whether the request ran.", "reason", "ran")
 	m.attempts = counter("attempts_total", "Attempts at endpoints that ended, by outcome.", "outcome")
 	m.orders = counter("orders_total", "Orders to engines, by kind and result.", "kind", "result")
-	m.store = counter("store_calls_total", "Calls to the store, by way (direct or relayed) and result.", "way", "result")
+	m.store = counter("store_calls_total", "Calls to the store, by way (direct, relayed, or for another host), kind (read, follow or write), table and result.", "way", "kind", "table", "result")
 	m.waited = histogram("wait_seconds", "Time from the arrival of a request to its last attempt.")
 	m.sending = histogram("sending_seconds", "Time from the choice of an endpoint until the request was written to it.")
 	m.firstEvent = histogram("first_seconds", "Time from an attempt to the first event of a stream.")
--- a/entry/peerservice.go
+++ b/entry/peerservice.go
@@ -33,22 +33,28 @@
 }
 
 // Summary records the demand and load of another host and returns the load of the others, with the table changes that
-// the caller lacks.
+// the caller lacks. A host that does not hold the lease returns only the changes, as a deputy.
 func (s *peerService) Summary(_ context.Context, r *peer.SummaryRequest) (*peer.SummaryResponse, error) {
+	h := s.host
 	use := poolUse{demand: demandsFromWire(r.GetDemands()), loads: loadsFromWire(r.GetLoads()), unserved: adaptersFromWire(r.GetUnserved())}
-	loads, held := s.host.recordUse(r.GetPool(), r.GetHeader().GetFrom(), use)
-	if !held {
+	revision, clock := h.store.ConfigState()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	loads, held := h.recordUse(r.GetPool(), r.GetHeader().GetFrom(), use)
+	if !held && !r.GetDeputies() {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
 	}
-	revision, clock := s.host.store.ConfigState()
-	s.host.mu.Lock()
-	defer s.host.mu.Unlock()
-	return &peer.SummaryResponse{
+	response := &peer.SummaryResponse{
 		Loads:         loadsToWire(loads),
-		Endpoints:     s.host.registry.changesAfter(r.GetEndpointsAfter()),
-		Members:       s.host.fleet.rows.changesAfter(r.GetMembersAfter()),
+		Endpoints:     h.registry.changesAfter(r.GetEndpointsAfter()),
+		Members:       h.fleet.rows.changesAfter(r.GetMembersAfter()),
 		Configuration: &peer.Changes{Revision: revision, Clock: int64(clock)},
-	}, nil
+		Deputy:        !held,
+	}
+	if !held {
+		response.Holder = h.respondingHolder(r.GetPool())
+	}
+	return response, nil
 }
 
 // Fetch loads an adapter on an endpoint of a pool whose lease this host holds.
--- a/entry/storeaccess.go
+++ b/entry/storeaccess.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
 
 	"magnoliahoist/peer"
 	"magnoliahoist/platform"
@@ -21,6 +24,10 @@
 	// commitTimeout bounds a direct write, so that a lease holder still has time to renew its lease through another
 	// host.
 	commitTimeout = 600 * time.Millisecond
+	// maxThrottledTries is how often a call is made that the store refuses because of its rate; throttledPause is the mean
+	// pause in between. All tries together fit into commitTimeout.
+	maxThrottledTries = 4
+	throttledPause    = 120 * time.Millisecond
 	// maxRelayWait bounds how long a relayed call for changes may wait at the store. In the meantime the store may stop
 	// responding to the relaying host or respond to this host again.
 	maxRelayWait = 700 * time.Millisecond
@@ -38,8 +45,8 @@
 	otherHosts func() (*peer.Client, []peer.Target) // client and the other hosts, in a fixed order
 	self       peer.Sender
 	now        func() time.Duration
-	countCall  func(way string, err error) // counts a call by way ("direct" or "relayed") and result
-	maxSilence time.Duration               // setting "trust": without confirmation for longer, API keys are no longer accepted
+	countCall  func(call storeCall, err error) // counts a call and its result
+	maxSilence time.Duration                   // setting "trust": without confirmation for longer, API keys are no longer accepted
 
 	mu              sync.Mutex
 	unreachable     bool          // the last direct call failed
@@ -53,6 +60,27 @@
 	holderCurrentAt time.Duration // latest time, by the host's clock, at which a lease holder confirmed the configuration
 }
 
+// storeCall describes a call to the store for the metrics.
+type storeCall struct {
+	way   string // "direct", "relayed" by another host, or "proxied" for another host
+	kind  string // "read", "follow" or "write"
+	table string
+}
+
+// readCall describes a read on behalf of or through another host.
+func readCall(way string, request *peer.ReadRequest) storeCall {
+	if request.GetWhole() {
+		return storeCall{way, "read", request.GetTable()}
+	}
+	return storeCall{way, "follow", request.GetTable()}
+}
+
+// writeCall describes a transaction, by the table of its first row.
+func writeCall(way string, txn table.Txn) storeCall {
+	name, _, _ := strings.Cut(txn.Writes[0].Key, "/")
+	return storeCall{way, "write", name}
+}
+
 // Unreachable reports whether the last direct call to the store failed.
 func (a *storeAccess) Unreachable() bool {
 	a.mu.Lock()
@@ -153,9 +181,9 @@
 	return true
 }
 
-// recordCall records the result of a direct call.
-func (a *storeAccess) recordCall(err error) {
-	a.countCall("direct", err)
+// recordCall counts a direct call and records its result.
+func (a *storeAccess) recordCall(call storeCall, err error) {
+	a.countCall(call, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err == nil || errors.Is(err, table.ErrCompacted) {
@@ -167,13 +195,42 @@
 	}
 }
 
+// callDirect calls the store directly and records the result. A call that the store refuses because of its rate is made
+// again a few times, after random pauses: hundreds of hosts that start or recover together exceed the rate for a moment, and
+// if they took the store for unreachable, each would call it through several others as well.
+func (a *storeAccess) callDirect(ctx context.Context, description storeCall, call func() error) error {
+	tries := maxThrottledTries
+	if a.Unreachable() {
+		tries = 1 // the store may refuse this host alone
+	}
+	for try := 1; ; try++ {
+		err := call()
+		if try == tries || !errors.Is(err, table.ErrThrottled) {
+			a.recordCall(description, err)
+			return err
+		}
+		a.countCall(description, err)
+		timer := time.NewTimer(throttledPause/2 + rand.N(throttledPause))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			a.recordCall(description, err)
+			return err
+		}
+	}
+}
+
 // ReadAll returns all rows of a table. The error is table.ErrUnavailable.
 func (a *storeAccess) ReadAll(ctx context.Context, name string) (table.Snapshot, error) {
 	err := error(table.ErrUnavailable)
 	if a.allowDirect() {
 		var snapshot table.Snapshot
-		snapshot, err = a.store.ReadAll(ctx, name)
-		if a.recordCall(err); err == nil {
+		err = a.callDirect(ctx, storeCall{"direct", "read", name}, func() (err error) {
+			snapshot, err = a.store.ReadAll(ctx, name)
+			return err
+		})
+		if err == nil {
 			return snapshot, nil
 		}
 	}
@@ -185,8 +242,11 @@
 	err := error(table.ErrUnavailable)
 	if a.allowDirect() {
 		var snapshot table.Snapshot
-		snapshot, err = a.store.Follow(ctx, name, after, wait)
-		if a.recordCall(err); err == nil || errors.Is(err, table.ErrCompacted) {
+		err = a.callDirect(ctx, storeCall{"direct", "follow", name}, func() (err error) {
+			snapshot, err = a.store.Follow(ctx, name, after, wait)
+			return err
+		})
+		if err == nil || errors.Is(err, table.ErrCompacted) {
 			return snapshot, err
 		}
 	}
@@ -199,9 +259,12 @@
 	if a.allowDirect() {
 		var result table.Result
 		bounded, cancel := context.WithTimeout(ctx, commitTimeout)
-		result, err = a.store.Commit(bounded, txn)
+		err = a.callDirect(bounded, writeCall("direct", txn), func() (err error) {
+			result, err = a.store.Commit(bounded, txn)
+			return err
+		})
 		cancel()
-		if a.recordCall(err); err == nil {
+		if err == nil {
 			return result, nil
 		}
 	}
@@ -226,7 +289,7 @@
 		snapshot = table.Snapshot{Rows: peer.RowsFromMessages(response.GetRows()), Revision: response.GetRevision(), Clock: time.Duration(response.GetClock())}
 		return hasContact
 	})
-	a.countCall("relayed", relayError(relayed))
+	a.countCall(readCall("relayed", request), relayError(relayed))
 	if !relayed {
 		return table.Snapshot{}, directErr
 	}
@@ -248,7 +311,7 @@
 		result = table.Result{Committed: response.GetCommitted(), Revision: response.GetRevision()}
 		return hasContact
 	})
-	a.countCall("relayed", relayError(relayed))
+	a.countCall(writeCall("relayed", txn), relayError(relayed))
 	if !relayed {
 		return table.Result{}, directErr
 	}
@@ -347,7 +410,7 @@
 	} else {
 		snapshot, err = h.store.store.Follow(ctx, r.GetTable(), r.GetAfter(), min(time.Duration(r.GetWait()), maxRelayWait))
 	}
-	h.store.recordCall(err)
+	h.store.recordCall(readCall("proxied", r), err)
 	switch {
 	case errors.Is(err, table.ErrCompacted):
 		return &peer.ReadResponse{Compacted: true}
@@ -363,8 +426,12 @@
 	if !h.store.allowDirect() {
 		return &peer.WriteResponse{Away: true}, nil
 	}
-	result, err := h.store.store.Commit(ctx, peer.TxnFromRequest(r))
-	h.store.recordCall(err)
+	txn := peer.TxnFromRequest(r)
+	if len(txn.Writes) == 0 {
+		return nil, twirp.RequiredArgumentError("writes")
+	}
+	result, err := h.store.store.Commit(ctx, txn)
+	h.store.recordCall(writeCall("proxied", txn), err)
 	if errors.Is(err, table.ErrNotApplied) {
 		return &peer.WriteResponse{Away: true}, nil
 	}
--- a/entry/storeaccess_test.go
+++ b/entry/storeaccess_test.go
@@ -84,7 +84,7 @@
 		store: platform.NewStore(ownAddress), self: peer.Sender{ID: "self"},
 		otherHosts: func() (*peer.Client, []peer.Target) { return client, f.targets },
 		now:        func() time.Duration { return f.now },
-		countCall:  func(string, error) {},
+		countCall:  func(storeCall, error) {},
 		maxSilence: maxSilence,
 	}
 	return f
@@ -349,8 +349,8 @@
 	f := newAccessFixture(t, 0)
 	f.ownStore.Faults().Replace(fault.Faults{Refuse: true})
 	direct := 0
-	f.access.countCall = func(way string, _ error) {
-		if way == "direct" {
+	f.access.countCall = func(call storeCall, _ error) {
+		if call.way == "direct" {
 			direct++
 		}
 	}
--- a/entry/tablecopy.go
+++ b/entry/tablecopy.go
@@ -83,13 +83,18 @@
 }
 
 // mergeFromHolder merges a holder's changes, which were current at currentAt by the host's clock. It returns the new
-// rows, however old the changes are, and whether the copy now counts as current.
+// rows, however old the changes are, and whether the copy now counts as current. A holder whose revision is older than that
+// of the copy has nothing new, but it follows the table: without counting that, a host and a holder whose calls to the
+// store end at the same moments would both follow it for good.
 func (c *tableCopy) mergeFromHolder(now, currentAt time.Duration, changes *peer.Changes) (fresh []table.Row, current bool) {
-	if changes == nil || changes.GetRevision() < c.revision {
+	if changes == nil {
 		return nil, false
 	}
-	c.confirm(time.Duration(changes.GetClock()))
 	c.holderCurrentAt = max(c.holderCurrentAt, currentAt)
+	if changes.GetRevision() < c.revision {
+		return nil, false
+	}
+	c.confirm(time.Duration(changes.GetClock()))
 	return c.merge(peer.RowsFromMessages(changes.GetRows()), changes.GetRevision()), c.validFor(now) > 0
 }
 
@@ -98,16 +103,20 @@
 	return max(c.holderCurrentAt+c.validity-now, 0)
 }
 
-// copyFollower returns a follower that keeps a copy current while no holder does. It calls changed with the host's lock
-// held.
-func (h *Host) copyFollower(name string, c *tableCopy, wait time.Duration, batchDelay func() time.Duration, changed func(rows []table.Row)) follower {
+// copyFollower returns a follower that keeps a copy current while neither a holder nor a deputy does. It calls changed with
+// the host's lock held.
+func (h *Host) copyFollower(name string, c *tableCopy, wait time.Duration, batchDelay func() time.Duration, wake <-chan struct{}, changed func(rows []table.Row)) follower {
 	return follower{
 		name:       name,
 		wait:       func() time.Duration { return wait },
 		batchDelay: batchDelay,
+		wake:       wake,
 		pauseFor: func() time.Duration {
 			h.mu.Lock()
 			defer h.mu.Unlock()
+			if h.actsAsDeputy() {
+				return 0
+			}
 			return c.validFor(h.Now())
 		},
 		sourceRevision: func() int64 {
--- a/entry/tablecopy_test.go
+++ b/entry/tablecopy_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"magnoliahoist/config"
+	"magnoliahoist/peer"
 	"magnoliahoist/table"
 )
 
@@ -157,3 +158,14 @@
 	holder.confirm(5 * time.Second)
 	qt.Check(t, time.Duration(holder.changesAfter(1).GetClock()), qt.Equals, 5*time.Second)
 }
+
+// TestCopyPausesInPhase guards against a host that follows a table for good beside the holder: their calls to the store end at
+// the same moments, so that the holder's report never has a newer revision than the host's own copy.
+func TestCopyPausesInPhase(t *testing.T) {
+	c := newTableCopy(4 * time.Second)
+	c.merge(nil, 100)
+	_, current := c.mergeFromHolder(10*time.Second, 9*time.Second, &peer.Changes{Revision: 99, Clock: int64(9 * time.Second)})
+	qt.Check(t, current, qt.IsFalse)
+	qt.Check(t, c.revision, qt.Equals, int64(100))
+	qt.Check(t, c.validFor(10*time.Second), qt.Equals, 3*time.Second)
+}
--- a/lease/renewed.go
+++ b/lease/renewed.go
@@ -20,6 +20,7 @@
 	RenewInterval time.Duration // between two renewals
 	HoldDuration  time.Duration // for which the holder may act after the start of its last renewal
 	HandoverGap   time.Duration // shortest time between the last action of one holder and the first action of the next
+	StageDelay    time.Duration // by which each stage of the succession acquires a free lease later than the one before
 }
 
 // Action is the kind of write that is due for a lease's row.
@@ -41,6 +42,7 @@
 type RenewedLease struct {
 	settings       RenewalSettings
 	self           string
+	stage          int           // of this process in the succession
 	row            Record        // as last read or written
 	revision       int64         // of the row; 0: absent
 	rowKnown       bool          // row and revision are current as far as known; false before the first read and after a failed write
@@ -80,6 +82,9 @@
 	}
 }
 
+// SetStage sets this process's stage in the succession, 0 for the process that acquires a free lease first.
+func (l *RenewedLease) SetStage(stage int) { l.stage = stage }
+
 // MayAct reports whether this process may act as the holder now.
 func (l *RenewedLease) MayAct(now time.Duration) bool {
 	return l.row.Holder == l.self && now < l.mayActUntil
@@ -112,7 +117,7 @@
 		}
 		return l.beginWrite(now, Renew, Record{Holder: l.self, FencingNumber: l.row.FencingNumber, Renewal: l.row.Renewal + 1})
 	}
-	if l.revision > 0 && l.lastReadAt-l.changedAt < l.takeoverWait() {
+	if l.lastReadAt-l.changedAt < l.takeoverWait() {
 		return NoWrite, Record{}, 0
 	}
 	return l.beginWrite(now, Acquire, Record{Holder: l.self, FencingNumber: l.row.FencingNumber + 1})
@@ -120,10 +125,15 @@
 
 // takeoverWait returns how long the row must have been unchanged before this process may acquire the lease.
 func (l *RenewedLease) takeoverWait() time.Duration {
-	if l.row.Released {
-		return l.settings.HandoverGap
+	wait := time.Duration(l.stage) * l.settings.StageDelay
+	switch {
+	case l.revision == 0:
+		return wait
+	case l.row.Released:
+		return wait + l.settings.HandoverGap
+	default:
+		return wait + l.settings.HoldDuration + l.settings.HandoverGap
 	}
-	return l.settings.HoldDuration + l.settings.HandoverGap
 }
 
 // beginWrite records the start of a write and returns it.
--- a/peer/client.go
+++ b/peer/client.go
@@ -20,6 +20,9 @@
 	// relayTimeout limits a call that the other host relays to the table service, in addition to the wait that the
 	// request asks for.
 	relayTimeout = 500 * time.Millisecond
+	// loadTimeout limits an exchange of load. A lease holder that has just started answers all hosts and asks all engines for
+	// reports at the same time, which takes it longer than a loan.
+	loadTimeout = 800 * time.Millisecond
 	// queryTimeout limits calls for summaries and timelines, for which no request waits.
 	queryTimeout = 2 * time.Second
 )
@@ -124,7 +127,7 @@
 // the header of the request.
 func (c *Client) ReportLoad(ctx context.Context, to Target, from Sender, request *SummaryRequest) (*SummaryResponse, error) {
 	request.Header = header(to, from)
-	return call(ctx, c, to, borrowTimeout, Peer.Summary, request)
+	return call(ctx, c, to, loadTimeout, Peer.Summary, request)
 }
 
 // Fetch asks the lease holder to load an adapter into an endpoint. It returns when the adapter can be used or can't be
--- a/residency/bench_test.go
+++ b/residency/bench_test.go
@@ -31,12 +31,14 @@
 	p := residency.New(0, 0)
 	p.SetPool(catalog.Pool{Name: "p", Engine: &spec})
 	p.SetEndpoints(0, list)
-	for _, e := range p.DueReports(20 * time.Second) {
-		r := residency.Report{RequestedAt: 20 * time.Second}
-		for _, m := range e.Models {
-			r.Models = append(r.Models, residency.Model{Name: m.Name, Adapters: m.Adapters})
+	for now := 18 * time.Second; now < 20*time.Second; now += 250 * time.Millisecond {
+		for _, e := range p.DueReports(now) {
+			r := residency.Report{RequestedAt: now}
+			for _, m := range e.Models {
+				r.Models = append(r.Models, residency.Model{Name: m.Name, Adapters: m.Adapters})
+			}
+			p.ApplyReport(now, e.ID, r)
 		}
-		p.ApplyReport(20*time.Second, e.ID, r)
 	}
 	p.AddDemand(20*time.Second, demand)
 	return p, list
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -24,6 +24,8 @@
 	orderRetryDelay = 300 * time.Millisecond
 	// reportInterval is the minimum time between two report requests to one engine.
 	reportInterval = 250 * time.Millisecond
+	// maxReports is how many reports are requested per reportInterval.
+	maxReports = 40
 	// loadBurst is how many loads from the weight store may begin at once: the store tolerates a few above its rate.
 	loadBurst = 3.0
 	// adapterLoadLatency and adapterLoadRate estimate how long an adapter takes to load after the engine has accepted the
@@ -227,15 +229,27 @@
 }
 
 // DueReports returns the engines to request a report from now: those whose state must be known before the next order, and
-// those with a model load or unload under way.
+// those with a model load or unload under way. A new lease holder needs the reports of all engines; it requests maxReports
+// per reportInterval, so that they don't take the processor from its other duties.
 func (p *Planner) DueReports(now time.Duration) []directory.Endpoint {
-	var list []directory.Endpoint
+	var due []*engine
+	room := maxReports
 	for _, id := range p.ids {
 		e := p.engines[id]
+		if e.reportRequestedAt > 0 && now-e.reportRequestedAt < reportInterval {
+			room--
+			continue
+		}
 		changeUnderWay := (e.loading != "" || e.unloading != "") && now-e.lastChange > reportLag
-		if e.inFlight != nil || e.Leaving || e.synced && !changeUnderWay || now-e.reportRequestedAt < reportInterval || now-e.lastChange < reportLag {
+		if e.inFlight != nil || e.Leaving || e.synced && !changeUnderWay || now-e.lastChange < reportLag {
 			continue
 		}
+		due = append(due, e)
+	}
+	slices.SortStableFunc(due, func(a, b *engine) int { return cmp.Compare(a.reportRequestedAt, b.reportRequestedAt) })
+	due = due[:min(len(due), max(room, 0))]
+	list := make([]directory.Endpoint, 0, len(due))
+	for _, e := range due {
 		e.reportRequestedAt = now
 		list = append(list, e.Endpoint)
 	}
--- a/residency/planner_test.go
+++ b/residency/planner_test.go
@@ -391,3 +391,26 @@
 	}
 	qt.Check(t, longest <= bound, qt.IsTrue, qt.Commentf("no adapter was loaded for %v, %d were loaded", longest, served))
 }
+
+// TestReportRate guards against a new lease holder that requests the reports of all engines at once and then has no processor
+// time for other hosts, and against an engine whose report is never requested because others don't respond.
+func TestReportRate(t *testing.T) {
+	_, list := largePool()
+	p := residency.New(0, 0)
+	p.SetPool(testPool())
+	p.SetEndpoints(0, list)
+	requested := map[string]bool{}
+	const window = 250 * time.Millisecond
+	inWindow := 0
+	for now := time.Second; now < 3*time.Second; now += 50 * time.Millisecond {
+		if now%window == 0 {
+			inWindow = 0
+		}
+		for _, e := range p.DueReports(now) {
+			requested[e.ID] = true
+			inWindow++
+		}
+		qt.Assert(t, inWindow <= 40, qt.IsTrue, qt.Commentf("%d requests from %v", inWindow, now))
+	}
+	qt.Check(t, requested, qt.HasLen, len(list))
+}
--- a/system/platform_calls_test.go
+++ b/system/platform_calls_test.go
@@ -20,9 +20,10 @@
 	total := 0.0
 	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
 		name, value, _ := strings.Cut(lines.Text(), "} ")
-		if !strings.HasPrefix(name, `magnoliahoist_entry_store_calls_total{result="done",way="direct"`) {
+		if !strings.HasPrefix(name, "magnoliahoist_entry_store_calls_total{") || !strings.Contains(name, `result="done"`) || !strings.Contains(name, `way="direct"`) {
 			continue
 		}
+
 		count, err := strconv.ParseFloat(value, 64)
 		qt.Assert(s.t, err, qt.IsNil)
 		total += count
--- a/table/table.go
+++ b/table/table.go
@@ -56,6 +56,9 @@
 // ErrOutcomeUnknown means that the transaction may have taken effect or may do so later.
 const ErrOutcomeUnknown = errors.ConstError("outcome of the transaction is unknown")
 
+// ErrThrottled means that the table service refused a call because there were too many. Such a call had no effect.
+const ErrThrottled = errors.ConstError("table service refused the call because of its rate")
+
 // ErrUnavailable means that the table service did not respond to a read.
 const ErrUnavailable = errors.ConstError("table service is unavailable")
 
