entry: a lease holder counts as unresponsive after two failed exchanges

In a fleet of three all hosts are deputies, and one failed exchange was enough to make a deputy follow the tables. Change: two failures in a row, 0.5 s each, or a response that says that the host no longer holds the lease.

--- a/entry/deputy.go
+++ b/entry/deputy.go
@@ -14,9 +14,11 @@
 
 const (
 	// deputyCount is the number of deputies: the hosts of the first two stages of the succession.
-	deputyCount   = 3
-	deputyStages  = 2
-	holderRetries = 4 // of this many exchanges without a responding holder, one goes to the holder
+	deputyCount  = 3
+	deputyStages = 2
+	// holderRetries is how many exchanges without a responding holder there are for each that goes to the holder.
+	holderRetries      = 4
+	maxFailedExchanges = 2
 )
 
 // successionOf returns the order in which hosts acquire a pool's lease. The caller holds the lock.
@@ -127,6 +129,24 @@
 	h.log.Info("entry: a deputy named the lease holder", "pool", pool, "holder", holder, "before", believed, "deputy", deputy)
 }
 
+// countExchange marks the lease holder as unresponsive after maxFailedExchanges failed exchanges in a row, or at once when it
+// says that it does not hold the lease. A single failure may be a connection that was closed just then. The caller holds
+// the lock.
+func (h *Host) countExchange(pool string, response *peer.SummaryResponse, err error) {
+	switch {
+	case err == nil && !response.GetDeputy():
+		delete(h.fleet.failedExchanges, pool)
+		return
+	case err != nil:
+		h.fleet.failedExchanges[pool]++
+		if h.fleet.failedExchanges[pool] < maxFailedExchanges {
+			return
+		}
+	}
+	delete(h.fleet.failedExchanges, pool)
+	h.markUnresponsive(pool)
+}
+
 // markUnresponsive records that the holder of a pool's lease does not respond, and makes a deputy follow the tables at
 // once. The caller holds the lock.
 func (h *Host) markUnresponsive(pool string) {
--- a/entry/deputy_test.go
+++ b/entry/deputy_test.go
@@ -94,6 +94,8 @@
 	to, _ := h.exchangeTarget(testPool)
 	qt.Check(t, to.ID, qt.Equals, "id-host-2")
 	h.handleExchange(testPool, "id-host-2", true, nil, peer.ErrNoResponse)
+	qt.Check(t, h.respondingHolder(testPool), qt.Equals, "id-host-2", qt.Commentf("one failure may be a connection that was closed just then"))
+	h.handleExchange(testPool, "id-host-2", true, nil, peer.ErrNoResponse)
 	qt.Check(t, h.respondingHolder(testPool), qt.Equals, "")
 	qt.Check(t, h.leaseReadDue(), qt.IsFalse, qt.Commentf("no configuration yet"))
 }
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -70,8 +70,8 @@
 func (h *Host) handleExchange(pool, from string, asHolder bool, response *peer.SummaryResponse, err error) {
 	h.mu.Lock()
 	delete(h.fleet.exchanging, pool)
-	if asHolder && from == h.believedHolder(pool) && (err != nil || response.GetDeputy()) {
-		h.markUnresponsive(pool)
+	if asHolder && from == h.believedHolder(pool) {
+		h.countExchange(pool, response, err)
 	}
 	h.mu.Unlock()
 	if err != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -22,7 +22,7 @@
 	relayTimeout = 500 * time.Millisecond
 	// loadTimeout limits an exchange of load. A lease holder that has just started answers all hosts and asks all engines for
 	// reports at the same time, which takes it longer than a loan.
-	loadTimeout = 800 * time.Millisecond
+	loadTimeout = 500 * time.Millisecond
 	// queryTimeout limits calls for summaries and timelines, for which no request waits.
 	queryTimeout = 2 * time.Second
 )
