entry: no log line for each exchange with a deputy

Change: deputies are one source; a deputy keeps the store as its source. Result: TestDeputySource fails without the change; no behaviour but the lines changes.

--- a/entry/deputy_test.go
+++ b/entry/deputy_test.go
@@ -133,3 +133,27 @@
 	qt.Check(t, reads < 400*0.3+30, qt.IsTrue, qt.Commentf("%.0f reads a second", reads))
 	qt.Check(t, leaseReadPause(0), qt.Equals, leaseReadInterval)
 }
+
+// TestDeputySource guards against a log line for each exchange while no lease holder responds: hosts exchange with several
+// deputies by turns, and deputies with each other.
+func TestDeputySource(t *testing.T) {
+	for name, test := range map[string]struct {
+		position int
+		want     string
+	}{
+		"deputy":     {1, storeSource},
+		"other host": {20, deputySource},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newMemberHost(test.position, 40)
+			h.store.ConfirmConfig(time.Second)
+			h.setSource(fleetTable, &h.fleet.rows, storeSource)
+			h.markUnresponsive(testPool)
+			for range 3 {
+				response := &peer.SummaryResponse{Deputy: true, Members: &peer.Changes{Revision: 9, Clock: int64(time.Second)}}
+				h.handleExchange(testPool, "id-host-1", false, response, nil)
+				qt.Check(t, h.fleet.rows.source, qt.Equals, test.want)
+			}
+		})
+	}
+}
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -78,7 +78,11 @@
 		h.log.Debug("entry: unable to exchange load", "pool", pool, "with", from, "error", err)
 		return
 	}
-	h.applyReportedChanges(from, response)
+	source := from
+	if response.GetDeputy() {
+		source = deputySource
+	}
+	h.applyReportedChanges(source, response)
 	h.noteConfiguration(response.GetConfiguration())
 	if response.GetDeputy() {
 		h.noteDeputyResponse(pool, from, response.GetHolder())
@@ -93,14 +97,15 @@
 	h.apply(dispatch.LoadsReported{Pool: pool, Loads: loadsFromWire(response.GetLoads())})
 }
 
-// applyReportedChanges merges the changes of endpoints and hosts that a lease holder or deputy reports.
-func (h *Host) applyReportedChanges(holder string, response *peer.SummaryResponse) {
+// applyReportedChanges merges the changes of endpoints and hosts that a lease holder or deputy reports. The source is the
+// holder's id or deputySource.
+func (h *Host) applyReportedChanges(source string, response *peer.SummaryResponse) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.mergeHolderChanges(platform.EndpointTable, &h.registry.tableCopy, holder, response.GetEndpoints(), h.applyEndpointRows) {
+	if h.mergeHolderChanges(platform.EndpointTable, &h.registry.tableCopy, source, response.GetEndpoints(), h.applyEndpointRows) {
 		h.directory.SetReachable(h.Now())
 	}
-	h.mergeHolderChanges(fleetTable, &h.fleet.rows, holder, response.GetMembers(), h.applyFleetRows)
+	h.mergeHolderChanges(fleetTable, &h.fleet.rows, source, response.GetMembers(), h.applyFleetRows)
 }
 
 // mergeHolderChanges merges the changes of one table that a lease holder reports, and reports whether the copy now
--- a/entry/tablecopy.go
+++ b/entry/tablecopy.go
@@ -20,11 +20,15 @@
 	revision        int64
 	currentClock    time.Duration // the store's clock when the copy was last confirmed to be current; 0 before the first time
 	holderCurrentAt time.Duration // latest confirmation time reported by a holder, by the host's clock
-	source          string        // who confirmed the copy last: the id of a holder, or storeSource
+	source          string        // who confirmed the copy last: the id of a holder, storeSource or deputySource
 }
 
-// storeSource is the source of a copy that the host reads from the store itself.
-const storeSource = "store"
+// Sources of a copy besides the ids of lease holders: the host reads the table from the store itself, or deputies report its
+// changes.
+const (
+	storeSource  = "store"
+	deputySource = "deputies"
+)
 
 func newTableCopy(validity time.Duration) tableCopy {
 	return tableCopy{validity: validity, rows: map[string]table.Row{}, holderCurrentAt: -validity}
@@ -145,9 +149,10 @@
 	}
 }
 
-// setSource sets and logs the source of a copy if it has changed. The caller holds the lock.
+// setSource sets and logs the source of a copy if it has changed. A deputy keeps its own calls to the store as the source:
+// it exchanges with the other deputies as well, several times a second. The caller holds the lock.
 func (h *Host) setSource(name string, c *tableCopy, source string) {
-	if c.source == source {
+	if c.source == source || source == deputySource && h.actsAsDeputy() {
 		return
 	}
 	h.log.Info("entry: source of table changes switched", "table", name, "source", source, "before", c.source, "revision", c.revision, "age", h.age(c).String())
