--- a/entry/storeaccess_test.go
+++ b/entry/storeaccess_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -389,3 +391,42 @@
 		})
 	}
 }
+
+// TestThrottledCommit guards against a host that takes the store for unreachable because the store refuses calls for their
+// rate for a moment: it would call it through several other hosts as well. A store that goes on refusing this host does
+// count as unreachable.
+func TestThrottledCommit(t *testing.T) {
+	for name, test := range map[string]struct {
+		refusals    int64
+		tries       int64
+		unreachable bool
+	}{
+		"not refused":      {0, 1, false},
+		"refused twice":    {2, 3, false},
+		"refused for good": {100, maxThrottledTries, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newAccessFixture(t, 0)
+			var calls atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) <= test.refusals {
+					w.WriteHeader(http.StatusTooManyRequests)
+					return
+				}
+				fmt.Fprint(w, `{"rows":[],"ver":7,"now_ms":1}`)
+			}))
+			t.Cleanup(server.Close)
+			f.access.store = platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
+			result, err := f.access.Commit(context.Background(), table.Txn{Writes: []table.Write{{Key: "fleet/k", Value: []byte("v")}}})
+			qt.Check(t, calls.Load(), qt.Equals, test.tries)
+			qt.Check(t, f.access.Unreachable(), qt.Equals, test.unreachable)
+			if test.unreachable {
+				qt.Check(t, errors.Is(err, table.ErrThrottled), qt.IsTrue, qt.Commentf("%v", err))
+				qt.Check(t, errors.Is(err, table.ErrNotApplied), qt.IsTrue, qt.Commentf("%v", err))
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, result.Committed, qt.IsTrue)
+		})
+	}
+}
