entry: quick detection of a lost holder again, members as before in small fleets; long events searched once

A holder that is gone was noticed after up to 1.2 s in place of 0.3 s, and adapters were ordered from it meanwhile; hosts that start saw their own row up to 0.5 s later. Change: exchanges end after 0.3 s again, and adapters count as not orderable from the first failed one; members gather for 0.2 s in small fleets, 5 ms a host, 0.5 s at most. Only what is new is searched now.

--- a/entry/events.go
+++ b/entry/events.go
@@ -28,13 +28,19 @@
 	if len(data) == 0 {
 		return nil
 	}
+	// Pending bytes hold no empty line, so only one that ends in data is searched for: searching all of a long event again
+	// with each read would take time that grows with the square of its length.
+	from := max(len(b.pending)-len(longestBlank)+1, 0)
 	joined := data
 	if len(b.pending) > 0 {
-		joined = append(b.pending, data...)
+		b.pending = append(b.pending, data...)
+		joined = b.pending
 	}
-	end := completeLength(joined)
+	end := completeLength(joined, from)
 	if end == 0 {
-		b.pending = bytes.Clone(joined)
+		if len(b.pending) == 0 {
+			b.pending = bytes.Clone(data)
+		}
 		return nil
 	}
 	complete := joined[:end]
@@ -48,18 +54,22 @@
 	return complete
 }
 
+// longestBlank is the longest end of a line with the empty line after it.
+const longestBlank = "\n\r\n"
+
 // completeLength returns the length of the complete events at the start of data, which is the end of the last empty
-// line. Data starts at an event boundary, so an empty line at its start belongs to no later event.
-func completeLength(data []byte) int {
+// line. The search begins at from; no empty line ends before it. Data starts at an event boundary, so an empty line at its
+// start belongs to no later event.
+func completeLength(data []byte, from int) int {
 	end := 0
 	for _, blank := range []string{"\n", "\r\n"} {
-		if bytes.HasPrefix(data, []byte(blank)) {
+		if from == 0 && bytes.HasPrefix(data, []byte(blank)) {
 			end = len(blank)
 		}
 	}
-	for _, blank := range []string{"\n\n", "\n\r\n"} {
-		if at := bytes.LastIndex(data, []byte(blank)); at >= 0 {
-			end = max(end, at+len(blank))
+	for _, blank := range []string{"\n\n", longestBlank} {
+		if at := bytes.LastIndex(data[from:], []byte(blank)); at >= 0 {
+			end = max(end, from+at+len(blank))
 		}
 	}
 	return end
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -34,12 +34,16 @@
 	secretBytes = 24
 	// memberWriteInterval is the pause before the host's own row is written again.
 	memberWriteInterval = 500 * time.Millisecond
-	// memberWait is how long a call for changes of the members may wait at the store; memberBatchDelay is the pause
-	// after a change, so that further changes arrive in one call.
-	memberWait       = 2 * time.Second
-	memberBatchDelay = 500 * time.Millisecond
+	// memberWait is how long a call for changes of the members may wait at the store; the batch
+	// delay is the pause after a change, so that further changes arrive in one call.
+	memberWait          = 2 * time.Second
+	minMemberBatchDelay = 200 * time.Millisecond
+	maxMemberBatchDelay = 500 * time.Millisecond
+	// memberBatchDelayEach is the batch delay for each known host: in a large fleet that starts together, hosts register for
+	// longer than in a small one.
+	memberBatchDelayEach = 5 * time.Millisecond
 	// memberValidity is how long hosts rely on a lease holder's report about members, from its confirmation time. It is
-	// above memberWait, memberBatchDelay and loadExchangeInterval together, and far below memberTimeout.
+	// above memberWait, maxMemberBatchDelay and loadExchangeInterval together, and far below memberTimeout.
 	memberValidity = 4 * time.Second
 	// peerIdleTimeout is how long an unused connection to another host is kept.
 	peerIdleTimeout = time.Minute
@@ -101,7 +105,14 @@
 
 // followFleet follows the hosts' rows in the store while no lease holder reports their changes.
 func (h *Host) followFleet() error {
-	return h.follow(h.copyFollower(fleetTable, &h.fleet.rows, memberWait, func() time.Duration { return memberBatchDelay }, h.membersWake, h.applyFleetRows))
+	return h.follow(h.copyFollower(fleetTable, &h.fleet.rows, memberWait, h.memberBatchDelay, h.membersWake, h.applyFleetRows))
+}
+
+// memberBatchDelay returns the pause after a change of the members.
+func (h *Host) memberBatchDelay() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(max(time.Duration(len(h.fleet.members))*memberBatchDelayEach, minMemberBatchDelay), maxMemberBatchDelay)
 }
 
 // applyFleetRows applies changed rows of the fleet table. The caller holds the lock.
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -130,7 +130,7 @@
 func (h *Host) updateOrderable(pool string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	possible := h.respondingHolder(pool) != ""
+	possible := h.respondingHolder(pool) != "" && h.fleet.failedExchanges[pool] == 0
 	if possible != h.orderable[pool] {
 		h.orderable[pool] = possible
 		h.log.Info("entry: availability of adapter orders changed", "pool", pool, "possible", possible, "holder", h.believedHolder(pool))
--- a/peer/client.go
+++ b/peer/client.go
@@ -20,9 +20,8 @@
 	// relayTimeout limits a call that the other host relays to the table service, in addition to the wait that the
 	// request asks for.
 	relayTimeout = 500 * time.Millisecond
-	// loadTimeout limits an exchange of load. A lease holder that has just started answers all hosts and asks all engines for
-	// reports at the same time, which takes it longer than a loan.
-	loadTimeout = 500 * time.Millisecond
+	// loadTimeout limits an exchange of load: two of them fit into the time for which a host relies on the last response.
+	loadTimeout = 300 * time.Millisecond
 	// queryTimeout limits calls for summaries and timelines, for which no request waits.
 	queryTimeout = 2 * time.Second
 )
