fakeengine: the second copy of an order comes after the next order in TestOrderFaults

Cause: the test sends an unload between an order and its second copy, 10 ms apart. Change: the copy comes after 300 ms. What is checked stays: after the unload the copy is carried out and takes memory again.

--- a/fakeengine/order_test.go
+++ b/fakeengine/order_test.go
@@ -91,6 +91,8 @@
 func TestOrderFaults(t *testing.T) {
 	c := qt.New(t)
 	const delay = document.Duration(10 * time.Millisecond)
+	// copyDelay leaves time for an order that must reach the engine before the second copy of the first one does.
+	const copyDelay = document.Duration(300 * time.Millisecond)
 	cases := map[string]struct {
 		faults fault.Faults
 		status int
@@ -99,7 +101,7 @@
 		"lost":       {fault.Faults{LoseOrder: 1}, 0, 50},
 		"late":       {fault.Faults{LateOrder: delay}, 0, 60},
 		"reply lost": {fault.Faults{LoseReply: 1}, 0, 60},
-		"doubled":    {fault.Faults{DoubleOrder: 1, LateOrder: delay}, 200, 60},
+		"doubled":    {fault.Faults{DoubleOrder: 1, LateOrder: copyDelay}, 200, 60},
 	}
 	for name, test := range cases {
 		c.Run(name, func(c *qt.C) {
