entry: orders for adapters after a takeover of the lease

Change: failures are counted by the holder that they concern. Result: TestOrdersAfterTakeover fails without the change and passes.

--- a/entry/deputy.go
+++ b/entry/deputy.go
@@ -132,18 +132,18 @@
 // countExchange marks the lease holder as unresponsive after maxFailedExchanges failed exchanges in a row, or at once when it
 // says that it does not hold the lease. A single failure may be a connection that was closed just then. The caller holds
 // the lock.
-func (h *Host) countExchange(pool string, response *peer.SummaryResponse, err error) {
+func (h *Host) countExchange(pool, holder string, response *peer.SummaryResponse, err error) {
 	switch {
 	case err == nil && !response.GetDeputy():
-		delete(h.fleet.failedExchanges, pool)
+		delete(h.fleet.failedExchanges, holder)
 		return
 	case err != nil:
-		h.fleet.failedExchanges[pool]++
-		if h.fleet.failedExchanges[pool] < maxFailedExchanges {
+		h.fleet.failedExchanges[holder]++
+		if h.fleet.failedExchanges[holder] < maxFailedExchanges {
 			return
 		}
 	}
-	delete(h.fleet.failedExchanges, pool)
+	delete(h.fleet.failedExchanges, holder)
 	h.markUnresponsive(pool)
 }
 
--- a/entry/deputy_test.go
+++ b/entry/deputy_test.go
@@ -10,9 +10,11 @@
 	"github.com/hashicorp/go-hclog"
 
 	"magnoliahoist/config"
+	"magnoliahoist/dispatch"
 	"magnoliahoist/document"
 	"magnoliahoist/lease"
 	"magnoliahoist/peer"
+	"magnoliahoist/residency"
 )
 
 const testPool = "llm"
@@ -157,3 +159,17 @@
 		})
 	}
 }
+
+// TestOrdersAfterTakeover guards against a host that places no orders for adapters after it has acquired the lease itself,
+// because of the failed exchanges with the holder before it.
+func TestOrdersAfterTakeover(t *testing.T) {
+	h := newMemberHost(0, 3)
+	for range maxFailedExchanges + 1 { // the last one is a later try
+		h.handleExchange(testPool, "holder", true, nil, peer.ErrNoResponse)
+	}
+	h.updateOrderable(testPool)
+	qt.Check(t, h.orderable[testPool], qt.IsFalse)
+	h.holdings[testPool] = &holding{planner: residency.New(0, 0), loads: dispatch.NewLoadReports()}
+	h.updateOrderable(testPool)
+	qt.Check(t, h.orderable[testPool], qt.IsTrue)
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -68,7 +68,7 @@
 	namedHolders      map[string]string              // by pool: id of the lease holder that a deputy has named; absent if the lease's row says it
 	successions       map[string]lease.Succession    // by pool; empty after a change of the members
 	exchangeTurns     map[string]int                 // by pool: exchanges since the start while the lease holder did not respond
-	failedExchanges   map[string]int                 // by pool: failed exchanges with the lease holder in a row
+	failedExchanges   map[string]int                 // by id of a lease holder: failed exchanges with it in a row
 	exchanging        map[string]bool                // by pool: an exchange of load is under way
 	leasesReadAt      time.Duration                  // time since boot of the last read of the leases
 	loaded            bool                           // the fleet table was read
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -71,7 +71,7 @@
 	h.mu.Lock()
 	delete(h.fleet.exchanging, pool)
 	if asHolder && from == h.believedHolder(pool) {
-		h.countExchange(pool, response, err)
+		h.countExchange(pool, from, response, err)
 	}
 	h.mu.Unlock()
 	if err != nil {
@@ -130,7 +130,8 @@
 func (h *Host) updateOrderable(pool string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	possible := h.respondingHolder(pool) != "" && h.fleet.failedExchanges[pool] == 0
+	holder := h.respondingHolder(pool)
+	possible := holder != "" && h.fleet.failedExchanges[holder] == 0
 	if possible != h.orderable[pool] {
 		h.orderable[pool] = possible
 		h.log.Info("entry: availability of adapter orders changed", "pool", pool, "possible", possible, "holder", h.believedHolder(pool))
