--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -48,7 +48,7 @@
 // attempt sends a request to one endpoint and relays its response to the caller. It reports whether the request is
 // finished; otherwise another attempt may follow.
 func (h *Host) attempt(parent context.Context, t *task, send dispatch.SendAttempt) bool {
-	t.lastSend, t.sentAt = send, h.Now()
+	t.lastSend, t.sentAt, t.responseStarted = send, h.Now(), false
 	h.metrics.waited.Observe((t.sentAt - t.arrived).Seconds())
 	result := dispatch.AttemptFinished{Number: t.number}
 	remaining := send.Deadline - h.Now()
@@ -110,7 +110,7 @@
 func (h *Host) reportAttempt(t *task, result dispatch.AttemptFinished, cause error) {
 	if result.Outcome != dispatch.Done {
 		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.lastSend.Attempt, "endpoint", t.lastSend.Endpoint.ID,
-			"outcome", result.Outcome.String(), "took", result.TimeToFirstByte.String(), "begun", t.headWritten, "error", cause)
+			"outcome", result.Outcome.String(), "took", result.TimeToFirstByte.String(), "begun", t.headWritten, "started", t.responseStarted, "parts", t.request.DescribeParts(), "error", cause)
 	}
 	h.metrics.attempts.WithLabelValues(result.Outcome.String()).Inc()
 	h.Apply(result)
@@ -197,6 +197,7 @@
 		if complete := events.add(buffer[:n]); len(complete) > 0 {
 			if !reported {
 				reported = true
+				t.responseStarted = true
 				t.firstEventTime = h.Now() - t.sentAt
 				h.metrics.observeFirstEvent(t.firstEventTime, t.lastSend.EstimatedWait)
 				h.Apply(dispatch.ResponseStarted{Number: t.number})
@@ -243,7 +244,7 @@
 	t.writeHead(response)
 	h.metrics.responses.WithLabelValues("stream").Inc()
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", response.StatusCode, "account", t.lastSend.Account, "work", t.request.Describe(),
-		"endpoint", t.lastSend.Endpoint.ID, "attempt", t.lastSend.Attempt, "after", (h.Now() - t.arrived).String(), "last", t.lastEventID, "estimate", t.lastSend.EstimatedWait.String(), "first", t.firstEventTime.String(),
+		"endpoint", t.lastSend.Endpoint.ID, "attempt", t.lastSend.Attempt, "parts", t.request.DescribeParts(), "after", (h.Now() - t.arrived).String(), "last", t.lastEventID, "estimate", t.lastSend.EstimatedWait.String(), "first", t.firstEventTime.String(),
 		"urgency", t.lastSend.Urgency, "waited", (t.sentAt - t.arrived).String(), "sending", t.sendingTime.String())
 	return true
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -34,19 +34,20 @@
 
 // task is the state of one caller's request from its arrival to its response.
 type task struct {
-	number         uint64
-	request        *intake.Request
-	writer         http.ResponseWriter
-	effects        <-chan dispatch.Effect
-	deadline       time.Duration
-	headWritten    bool // status and header were sent to the caller
-	lastEventID    string
-	failure        *bufferedResponse // failure response of an endpoint, sent to the caller if no other attempt follows
-	arrived        time.Duration
-	lastSend       dispatch.SendAttempt
-	sentAt         time.Duration // start of the last attempt
-	sendingTime    time.Duration // from the choice of the endpoint until the request was written to it
-	firstEventTime time.Duration // from the start of the last attempt to the first event
+	number          uint64
+	request         *intake.Request
+	writer          http.ResponseWriter
+	effects         <-chan dispatch.Effect
+	deadline        time.Duration
+	headWritten     bool // status and header were sent to the caller
+	lastEventID     string
+	failure         *bufferedResponse // failure response of an endpoint, sent to the caller if no other attempt follows
+	arrived         time.Duration
+	lastSend        dispatch.SendAttempt
+	sentAt          time.Duration // start of the last attempt
+	sendingTime     time.Duration // from the choice of the endpoint until the request was written to it
+	firstEventTime  time.Duration // from the start of the last attempt to the first event
+	responseStarted bool          // the last attempt has received an event
 }
 
 // ServeHTTP reads a caller's request and serves it.
--- a/intake/request.go
+++ b/intake/request.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"magnoliahoist/catalog"
@@ -66,6 +68,19 @@
 	}
 }
 
+// DescribeParts returns the ids of the prompt's parts in hexadecimal; empty for a call and for a prompt without parts.
+func (r *Request) DescribeParts() string {
+	g, ok := r.Work.(Generation)
+	if !ok {
+		return ""
+	}
+	ids := make([]string, 0, len(g.PromptParts))
+	for _, part := range g.PromptParts {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // Tokens returns the tokens that the caller states: of prompt and output together for a generation.
 func (r *Request) Tokens() int64 {
 	switch w := r.Work.(type) {
