system: a failing test of a prompt part that crashes engines

The stand-in for engines takes a fault: it crashes when it begins to answer a request with a given prompt part, refuses connections for a while and restarts as a new process under its id.

TestPlatformPartThatCrashesEngines sends requests with such a part beside sound ones with the same account and other parts to three hosts and six engines.

--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"magnoliahoist/document"
 	"magnoliahoist/fault"
 	"magnoliahoist/platform/fakeplatform"
 	"magnoliahoist/process"
@@ -63,10 +64,8 @@
 	t.Helper()
 	s := &site{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}}
 	s.store = startPlatformStandin(t, "store", "store", struct{}{})
-	for n, models := range [][]string{{"m1", "m2"}, {"m1"}} {
-		s.engines = append(s.engines, startPlatformStandin(t, fmt.Sprint("engine", n), "endpoint", fakeplatform.Settings{
-			ID: fmt.Sprint("e", n), Service: "llm", Zone: "z1", Store: s.store.address(), Slots: 64, Models: models, MaxModels: 3, MaxAdapters: 2,
-		}))
+	for _, models := range [][]string{{"m1", "m2"}, {"m1"}} {
+		s.startEngine(models...)
 	}
 	for n := range 2 {
 		s.apps = append(s.apps, startPlatformStandin(t, fmt.Sprint("app", n), "endpoint", fakeplatform.Settings{
@@ -83,6 +82,19 @@
 	return s
 }
 
+// engineDowntime is the time from a crash of an engine to its restart.
+const engineDowntime = 2 * time.Second
+
+// startEngine starts an engine that holds some models.
+func (s *site) startEngine(models ...string) {
+	s.t.Helper()
+	n := len(s.engines)
+	s.engines = append(s.engines, startPlatformStandin(s.t, fmt.Sprint("engine", n), "endpoint", fakeplatform.Settings{
+		ID: fmt.Sprint("e", n), Service: "llm", Zone: "z1", Store: s.store.address(), Slots: 64, Models: models, MaxModels: 3, MaxAdapters: 2,
+		Downtime: document.Duration(engineDowntime),
+	}))
+}
+
 // startHost starts an entry host with a link to the store.
 func (s *site) startHost(name string) {
 	s.t.Helper()
@@ -147,6 +159,7 @@
 	key    string
 	model  string
 	tokens string
+	parts  string
 	body   string
 }
 
@@ -168,7 +181,7 @@
 		tokens = "100,10"
 	}
 	request, err := fakeplatform.Request{
-		ID: id, Host: "h", Path: a.path, Key: a.key, Model: a.model, Tokens: tokens, CallerTimeout: 5 * time.Second, Body: a.body,
+		ID: id, Host: "h", Path: a.path, Key: a.key, Model: a.model, Tokens: tokens, Parts: a.parts, CallerTimeout: 5 * time.Second, Body: a.body,
 	}.HTTPRequest(s.callerAddresses[a.host])
 	qt.Assert(s.t, err, qt.IsNil)
 	response, err := s.client.Do(request)
