dispatch, entry: a prompt part that crashes engines is tried once at a time, then blocked on all hosts

Cause: nothing was remembered of what an engine was doing when it ended, each host judged by itself, and a request that lost its engine before an answer was repeated by reflex where its route allows that.

An attempt of a generation that ends without an answer is followed by a probe: a refused connection says that the engine has ended. The parts of all requests of the host that it had not begun to answer become evidence in the host's ledger (package quarantine), which hosts exchange with their loads: at once after a crash, through the holder of the lease or a deputy. Requests with a suspected part are sent one at a time for each host, to the engine where least is lost, and are not repeated after a crash; a blocked part is refused as not run, without a time to come back. After a block one host after the other may try. An engine that has ended is ejected until it is back.

A request that is no longer allowed when its connection is there now ends as withdrawn and does not eject the endpoint; TestNoLongerAllowed expects the new error, which promises as much (nothing was sent).

--- a/connection/connection_test.go
+++ b/connection/connection_test.go
@@ -199,7 +199,7 @@
 	request := newRequest(address, "1", nil)
 	request.MaySend = func() bool { return pool.OpenedTotal() == 0 }
 	_, err := exchange(t, pool, request)
-	qt.Check(t, errors.Is(err, connection.ErrUnsent), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, errors.Is(err, connection.ErrWithdrawn), qt.IsTrue, qt.Commentf("%v", err))
 	select {
 	case id := <-got:
 		t.Fatalf("request %s was sent, want none", id)
--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -100,9 +100,9 @@
 	noReuse       bool        // the connection must not be used again
 }
 
-// Exchange sends a request and returns the response with its body unread. The error is ErrUnsent if no byte was sent, which
-// includes a request that was no longer allowed, ErrConnectionLimit if no further connection may be opened, and ErrNoResponse
-// otherwise. When the context ends, pending reads and writes of the exchange fail.
+// Exchange sends a request and returns the response with its body unread. The error is ErrUnsent if no byte was sent,
+// ErrWithdrawn if the request was no longer allowed, ErrConnectionLimit if no further connection may be opened, and
+// ErrNoResponse otherwise. When the context ends, pending reads and writes of the exchange fail.
 func (p *Pool) Exchange(ctx context.Context, request Request) (*Response, error) {
 	c, err := p.getConn(ctx, request.Address, request.Process, request.MaxConnections)
 	if err != nil {
@@ -110,7 +110,7 @@
 	}
 	if request.MaySend != nil && !request.MaySend() {
 		c.discard()
-		return nil, errors.Annotate(ErrUnsent, "connection: request is no longer allowed")
+		return nil, ErrWithdrawn
 	}
 	response := &Response{conn: c}
 	response.detachContext = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // a past deadline ends reads and writes
--- a/connection/pool.go
+++ b/connection/pool.go
@@ -18,6 +18,8 @@
 	ErrUnsent = errors.ConstError("request was not sent")
 	// ErrNoResponse means that the request was sent, at least in part, and no usable response was received.
 	ErrNoResponse = errors.ConstError("no usable response")
+	// ErrWithdrawn means that no byte of the request was sent because Request.MaySend did not allow it any more.
+	ErrWithdrawn = errors.ConstError("request is no longer allowed")
 	// ErrConnectionLimit means that this host already has as many connections to the endpoint as the request allows.
 	ErrConnectionLimit = errors.ConstError("too many connections to the endpoint")
 )
@@ -109,6 +111,22 @@
 	return c, nil
 }
 
+// probeTimeout bounds a probe of an endpoint whose connection was closed.
+const probeTimeout = 200 * time.Millisecond
+
+// Refuses reports whether nothing listens at an address: a new connection is refused. It returns false if the connection is
+// accepted or if there is no response in time.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // popIdleOrReserve returns an unexpired idle connection to the endpoint process. If there is none, it counts a connection
 // that the caller has to open and returns nil, or reports that the limit is reached. It closes the idle connections to other
 // processes and the expired ones that it meets.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -43,6 +44,11 @@
 	return e.ID == other.ID && e.Address == other.Address && e.StartedAt == other.StartedAt
 }
 
+// Process identifies the process among all processes of all endpoints.
+func (e Endpoint) Process() string {
+	return e.ID + "@" + e.Address + "@" + strconv.FormatInt(e.StartedAt, 10)
+}
+
 // withSeen returns the registration with the time at which it was received.
 func (e Endpoint) withSeen(now time.Duration) Endpoint {
 	e.ReceivedAt = now
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -62,6 +62,10 @@
 		if ep.Leaving || r.tried(ep.ID) {
 			continue
 		}
+		if ep.resting(now) {
+			reason = Overloaded
+			continue
+		}
 		if now < ep.ejectedUntil && !s.allEjected(now, p, r) {
 			continue
 		}
@@ -106,11 +110,12 @@
 	key := Adapter{g.Model, g.Adapter}
 	preferred := s.preferredEndpoint(now, p, r, g)
 	lowest := time.Duration(0)
+	isTrial := s.isSuspected(now, r)
 	for _, ep := range p.endpoints {
 		if ep.Leaving || r.tried(ep.ID) || !ep.servesModel(now, g.Model) {
 			continue
 		}
-		if now < ep.ejectedUntil {
+		if now < ep.ejectedUntil || ep.resting(now) {
 			reason = Overloaded
 			continue
 		}
@@ -126,7 +131,7 @@
 			reason = Overloaded
 			continue
 		}
-		score := c.estimatedWait + s.domainCost(ep) + runningCost*time.Duration(ep.running+ep.othersRunning(now))/time.Duration(max(ep.Slots, 1))
+		score := c.estimatedWait + s.domainCost(ep) + trialCost(ep, isTrial, ep.running+ep.othersRunning(now)) + runningCost*time.Duration(ep.running+ep.othersRunning(now))/time.Duration(max(ep.Slots, 1))
 		if ep == preferred {
 			score -= preferredBonus
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
+	"magnoliahoist/quarantine"
 	"magnoliahoist/queue"
 )
 
@@ -33,6 +34,9 @@
 	members      []Member
 	hostFraction float64 // 1 divided by the number of hosts; 0 while this host is not among the members
 	loanCount    uint64  // numbers the loans that this host asked for
+	ledger       *quarantine.Ledger
+	trials       map[quarantine.Part]uint64 // number of the running request that tries a suspected part
+	restUntil    map[string]time.Duration   // by process: when an endpoint may get requests again that has asked for rest
 	effects      []Effect
 }
 
@@ -52,10 +56,13 @@
 // New returns the state machine of a host that has no configuration and knows no endpoint.
 func New(settings Settings) *State {
 	return &State{
-		settings: settings,
-		pools:    map[string]*pool{},
-		accounts: map[string]*account{},
-		requests: map[uint64]*request{},
+		settings:  settings,
+		pools:     map[string]*pool{},
+		accounts:  map[string]*account{},
+		requests:  map[uint64]*request{},
+		ledger:    quarantine.New(),
+		trials:    map[quarantine.Part]uint64{},
+		restUntil: map[string]time.Duration{},
 	}
 }
 
@@ -91,6 +98,10 @@
 		s.handleAdapterOrderFinished(now, e)
 	case LoadsReported:
 		s.handleLoadsReported(now, e)
+	case EvidenceChanged:
+		s.applyEvidence(now, e.Evidence)
+	case EndpointResting:
+		s.handleEndpointResting(now, e)
 	case AdapterOrdersChanged:
 		s.poolByName(e.Pool).canOrderAdapters = e.Possible
 		s.dispatchAllQueued(now)
@@ -166,6 +177,7 @@
 		ep := p.byID[e.ID]
 		if ep == nil || !ep.SameProcess(e) {
 			ep = newEndpoint(now, e)
+			ep.restUntil = s.restUntil[e.Process()]
 			p.byID[e.ID] = ep
 		}
 		ep.update(now, e)
@@ -200,6 +212,7 @@
 		a := s.accounts[name]
 		s.repay(name, a.ledger.RepayExpired(now))
 	}
+	maps.DeleteFunc(s.restUntil, func(_ string, until time.Duration) bool { return now >= until })
 	s.dispatchAllQueued(now)
 }
 
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -5,6 +5,7 @@
 
 	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
+	"magnoliahoist/quarantine"
 )
 
 // Effect is something that the host has to do after an event.
@@ -70,9 +71,13 @@
 	Adapter  string
 }
 
+// PartJudged says that a prompt part is blocked from now on, or no longer. The host logs it.
+type PartJudged struct{ quarantine.Change }
+
 func (SendAttempt) isEffect()   {}
 func (RefuseRequest) isEffect() {}
 func (RequestLoan) isEffect()   {}
 func (GrantLoan) isEffect()     {}
 func (RepayLoan) isEffect()     {}
 func (OrderAdapter) isEffect()  {}
+func (PartJudged) isEffect()    {}
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -50,6 +50,8 @@
 	failuresInRow      int
 	ejection           time.Duration            // length of the last ejection; 0 after a success
 	ejectedUntil       time.Duration            // end of the last ejection
+	restUntil          time.Duration            // the endpoint has asked this host to send it nothing until then
+	trials             int                      // running attempts of this host that try a suspected prompt part
 	absentSince        map[string]time.Duration // by model: when the endpoint responded that it does not hold the model
 	promptCache        *promptCache
 }
@@ -127,8 +129,13 @@
 	return !ep.othersLoad.Loading || now-ep.othersLoadAt >= othersLoadMaxAge
 }
 
-// available reports whether attempts may be sent to the endpoint: it is neither leaving nor ejected.
-func (ep *endpoint) available(now time.Duration) bool { return !ep.Leaving && now >= ep.ejectedUntil }
+// available reports whether attempts may be sent to the endpoint: it is neither leaving nor ejected nor resting.
+func (ep *endpoint) available(now time.Duration) bool {
+	return !ep.Leaving && now >= ep.ejectedUntil && !ep.resting(now)
+}
+
+// resting reports whether the endpoint has asked for rest that is not over.
+func (ep *endpoint) resting(now time.Duration) bool { return now < ep.restUntil }
 
 // advancePending subtracts the prompt tokens that the endpoint is estimated to have prefilled since the last call, the most
 // urgent ones first. At each level, at least minPendingShare of the prompt tokens without a first token stay pending.
@@ -199,7 +206,7 @@
 		ep.failuresInRow, ep.ejection = 0, 0
 	case Failure, ResponseLost, ResponseTimedOut, NotSent:
 		ep.countFailure(now, outcome)
-	case Misdirected, Refused, Cancelled:
+	case Misdirected, Refused, Cancelled, Withdrawn:
 	}
 }
 
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -9,6 +9,7 @@
 	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
 	"magnoliahoist/intake"
+	"magnoliahoist/quarantine"
 )
 
 // Event is something that has happened and that the state machine has to handle.
@@ -31,6 +32,7 @@
 	ResponseStarted bool          // part of the response was passed on to the caller, so that there is no retry
 	RetryAfter      time.Duration // retry-after stated by the endpoint; 0 for none
 	TimeToFirstByte time.Duration // from sending the attempt to the first byte of the response; 0 without a response
+	EndpointCrashed bool          // the endpoint has ended: it closed the connection and refuses new ones
 }
 
 // RequestAbandoned says that the caller of a request has disconnected.
@@ -140,6 +142,15 @@
 	Loads []Load
 }
 
+// EvidenceChanged passes evidence on prompt parts that crash engines from another host or from an operator.
+type EvidenceChanged struct{ Evidence quarantine.Event }
+
+// EndpointResting says that an endpoint has asked this host to send it nothing for some time.
+type EndpointResting struct {
+	Endpoint directory.Endpoint
+	For      time.Duration
+}
+
 func (RequestArrived) isEvent()       {}
 func (ResponseStarted) isEvent()      {}
 func (AttemptFinished) isEvent()      {}
@@ -155,3 +166,5 @@
 func (AdapterOrderFinished) isEvent() {}
 func (LoadsReported) isEvent()        {}
 func (AdapterOrdersChanged) isEvent() {}
+func (EvidenceChanged) isEvent()      {}
+func (EndpointResting) isEvent()      {}
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"magnoliahoist/intake"
+	"magnoliahoist/quarantine"
 )
 
 const (
@@ -31,11 +32,21 @@
 	if r == nil || r.phase != attemptRunning {
 		return
 	}
+	if e.EndpointCrashed {
+		s.noteCrash(now, r)
+	}
+	if e.Outcome == Done && !r.responseStarted {
+		s.noteAnswer(now, r)
+	}
+	wasTrial := len(r.trials) > 0
 	s.releaseEndpoint(now, r, e.Outcome)
 	s.noteOutcome(now, r, e)
 	switch {
 	case e.Outcome == Done || e.ResponseStarted:
 		delete(s.requests, e.Number)
+	case e.EndpointCrashed && (wasTrial || s.isSuspected(now, r)):
+		r.mayHaveRun = true
+		s.refuse(now, r, AttemptFailed, 0)
 	case outcomeMayHaveRun(e.Outcome):
 		r.mayHaveRun = true
 		s.retryOrRefuse(now, r, AttemptFailed, 0)
@@ -45,6 +56,12 @@
 	s.dispatchQueued(now, r.pool)
 }
 
+// isSuspected reports whether a request has a part that may crash engines. Such a request is not repeated at another one.
+func (s *State) isSuspected(now time.Duration, r *request) bool {
+	_, sound := s.judge(now, r).(quarantine.Sound)
+	return !sound
+}
+
 // noteOutcome records what the outcome of an attempt says about the models and adapters that the endpoint holds.
 func (s *State) noteOutcome(now time.Duration, r *request, e AttemptFinished) {
 	g, isGeneration := r.arrival.Request.Work.(intake.Generation)
@@ -62,14 +79,14 @@
 		ep.absentSince[g.Model] = now
 	case Done:
 		delete(ep.absentSince, g.Model)
-	case Failure, Refused, NotSent, ResponseLost, ResponseTimedOut, Cancelled:
+	case Failure, Refused, NotSent, Withdrawn, ResponseLost, ResponseTimedOut, Cancelled:
 	}
 }
 
 // outcomeMayHaveRun reports whether an attempt with an outcome may have been executed.
 func outcomeMayHaveRun(o Outcome) bool {
 	switch o {
-	case Refused, Misdirected, NotSent:
+	case Refused, Misdirected, NotSent, Withdrawn:
 		return false
 	default:
 		return true
--- a/dispatch/main_test.go
+++ b/dispatch/main_test.go
@@ -56,10 +56,13 @@
 }
 
 // newHarness returns a host with a configuration, two engines that hold the model m, and two services.
-func newHarness(t testing.TB) *harness {
-	h := &harness{t: t, state: dispatch.New(dispatch.Settings{Host: "self", Domain: "near", RetryShare: 0.2, RetryFloor: 5, RetryWindow: 10 * time.Second})}
+func newHarness(t testing.TB) *harness { return newNamedHarness(t, "self") }
+
+// newNamedHarness is newHarness for a host with a name.
+func newNamedHarness(t testing.TB, name string) *harness {
+	h := &harness{t: t, state: dispatch.New(dispatch.Settings{Host: name, Domain: "near", RetryShare: 0.2, RetryFloor: 5, RetryWindow: 10 * time.Second})}
 	h.now = time.Minute
-	h.apply(dispatch.MembersChanged{Members: []dispatch.Member{{Name: "self", ID: "1"}}})
+	h.apply(dispatch.MembersChanged{Members: []dispatch.Member{{Name: name, ID: "1"}}})
 	h.apply(dispatch.ConfigurationChanged{Catalog: catalog.New(newDocument(1))})
 	h.apply(dispatch.EndpointsChanged{Endpoints: newEndpoints()})
 	h.apply(dispatch.AdapterOrdersChanged{Pool: engines, Possible: true})
--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -18,6 +18,7 @@
 	Rejected                    // rejected by the endpoint
 	AttemptFailed               // attempt failed
 	CutOff                      // host is cut off
+	Quarantined                 // part of the prompt crashes engines
 )
 
 // Ran says whether a refused request was executed.
@@ -42,4 +43,5 @@
 	ResponseLost                    // sent without a usable answer
 	ResponseTimedOut                // no answer in time
 	Cancelled                       // the caller left or its time was over
+	Withdrawn                       // not sent, because it was no longer allowed
 )
--- a/dispatch/reason_string.go
+++ b/dispatch/reason_string.go
@@ -19,11 +19,12 @@
 	_ = x[Rejected-8]
 	_ = x[AttemptFailed-9]
 	_ = x[CutOff-10]
+	_ = x[Quarantined-11]
 }
 
-const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut off"
+const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut offpart of the prompt crashes engines"
 
-var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154}
+var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154, 188}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
@@ -63,11 +64,12 @@
 	_ = x[ResponseLost-5]
 	_ = x[ResponseTimedOut-6]
 	_ = x[Cancelled-7]
+	_ = x[Withdrawn-8]
 }
 
-const _Outcome_name = "donethe endpoint answered with a failurerefused as not runanother process answers, or the model is absent; not runnothing was sentsent without a usable answerno answer in timethe caller left or its time was over"
+const _Outcome_name = "donethe endpoint answered with a failurerefused as not runanother process answers, or the model is absent; not runnothing was sentsent without a usable answerno answer in timethe caller left or its time was overnot sent, because it was no longer allowed"
 
-var _Outcome_index = [...]uint8{0, 4, 40, 58, 114, 130, 158, 175, 211}
+var _Outcome_index = [...]uint8{0, 4, 40, 58, 114, 130, 158, 175, 211, 253}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -8,6 +8,7 @@
 	"magnoliahoist/catalog"
 	"magnoliahoist/intake"
 	"magnoliahoist/limit"
+	"magnoliahoist/quarantine"
 	"magnoliahoist/queue"
 )
 
@@ -55,10 +56,12 @@
 	attempts        int
 	mayHaveRun      bool // an earlier attempt may have been executed
 	choice          choice
-	startedAt       time.Duration  // start of the running attempt
-	responseStarted bool           // the endpoint has begun to respond to the running attempt
-	triedEndpoints  []string       // IDs of the endpoints that were tried
-	promptPrefixes  []promptPrefix // of a generation's prompt; nil for calls
+	startedAt       time.Duration     // start of the running attempt
+	responseStarted bool              // the endpoint has begun to respond to the running attempt
+	triedEndpoints  []string          // IDs of the endpoints that were tried
+	promptPrefixes  []promptPrefix    // of a generation's prompt; nil for calls
+	partIDs         []uint64          // of the parts of a generation's prompt, in their order; nil for calls
+	trials          []quarantine.Part // suspected parts that the running attempt tries
 }
 
 // tried reports whether an endpoint was tried for the request.
@@ -72,6 +75,9 @@
 		return
 	}
 	s.requests[a.Number] = r
+	if s.refuseBlocked(now, r) {
+		return
+	}
 	g, isGeneration := a.Request.Work.(intake.Generation)
 	if isGeneration {
 		r.pool.promptDemand[g.Model] += float64(g.PromptTokens)
@@ -83,6 +89,10 @@
 		s.refuse(now, r, NoModel, noModelRetryAfter)
 		return
 	}
+	if wait := s.allResting(now, r); wait > queueWait(r) {
+		s.refuse(now, r, Overloaded, wait)
+		return
+	}
 	if !s.chargeTokens(now, r) {
 		return
 	}
@@ -129,6 +139,7 @@
 		return nil, NoEndpoint
 	}
 	r.pool = s.poolByName(poolName)
+	r.partIDs = partIDsOf(a.Request.Work)
 	r.deadline = now + timeLimit(a.Request.CallerTimeout, route.Timeout)
 	return r, 0
 }
@@ -153,11 +164,11 @@
 	item := queue.Item{
 		ID:       r.arrival.Number,
 		Account:  r.account,
-		Class:    queueClass(r),
+		Class:    queueClass(r) + s.trialClass(now, r),
 		Weight:   unlimitedWeight,
 		Tokens:   max(r.arrival.Request.Tokens(), 1),
 		Priority: -r.route.Priority,
-		Deadline: r.arrivedAt + time.Duration(queueWaitShare*float64(r.route.ResponseTarget)) + minQueueWait,
+		Deadline: r.arrivedAt + queueWait(r),
 	}
 	if a := s.accounts[r.account]; a != nil && a.spec.Rate > 0 {
 		item.Weight = a.spec.Rate
@@ -166,6 +177,11 @@
 	s.dispatchQueued(now, r.pool)
 }
 
+// queueWait returns how long after its arrival a request may be queued.
+func queueWait(r *request) time.Duration {
+	return time.Duration(queueWaitShare*float64(r.route.ResponseTarget)) + minQueueWait
+}
+
 // queueClass returns the request's class in the queue: what an endpoint must hold to serve it.
 func queueClass(r *request) string {
 	if g, ok := r.arrival.Request.Work.(intake.Generation); ok {
@@ -192,13 +208,18 @@
 		var chosen choice
 		item, found := p.queue.Next(now, func(i queue.Item) bool {
 			r := s.requests[i.ID]
+			if s.awaitsTrial(now, r) {
+				return false
+			}
 			chosen, _ = s.choose(now, p, r)
 			return chosen.endpoint != nil
 		})
 		if !found {
 			return
 		}
-		s.sendOrOrderAdapter(now, s.requests[item.ID], chosen)
+		if r := s.requests[item.ID]; !s.refuseBlocked(now, r) {
+			s.sendOrOrderAdapter(now, r, chosen)
+		}
 	}
 }
 
@@ -238,7 +259,10 @@
 	}
 	for _, number := range s.awaitingAdapterOf(p, e) {
 		r := s.requests[number]
-		if e.Loaded && ep != nil && ep.available(now) {
+		if s.refuseBlocked(now, r) {
+			continue
+		}
+		if e.Loaded && ep != nil && ep.available(now) && !s.awaitsTrial(now, r) {
 			s.sendAttempt(now, r)
 			continue
 		}
@@ -274,6 +298,7 @@
 	if r.attempts == 1 {
 		r.pool.retryBudget.countRequest(now, s.settings.RetryWindow)
 	}
+	s.startTrial(now, r)
 	ep.startAttempt(now, r.choice.level, r.choice.uncached)
 	if r.promptPrefixes != nil {
 		ep.promptCache.add(r.promptPrefixes)
@@ -316,6 +341,7 @@
 		return
 	}
 	r.responseStarted = true
+	s.noteAnswer(now, r)
 	r.choice.endpoint.endPrefill(now, r.choice.level, r.choice.uncached)
 	if r.promptPrefixes != nil {
 		r.choice.endpoint.updateSlowness(now-r.startedAt, r.choice.estimatedWait)
@@ -326,6 +352,7 @@
 // releaseEndpoint counts the end of the running attempt at its endpoint.
 func (s *State) releaseEndpoint(now time.Duration, r *request, outcome Outcome) {
 	ep := r.choice.endpoint
+	s.endTrial(r)
 	if !r.responseStarted {
 		ep.endPrefill(now, r.choice.level, r.choice.uncached)
 		if waited := now - r.startedAt; r.promptPrefixes != nil && outcome == Cancelled && waited > r.choice.estimatedWait {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -13,6 +13,7 @@
 	"magnoliahoist/connection"
 	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
+	"magnoliahoist/intake"
 	"magnoliahoist/platform"
 )
 
@@ -64,7 +65,7 @@
 	}
 	started, began := h.Now(), time.Now()
 	encoded := platform.EncodeAttempt(t.request, send, remaining, t.lastEventID)
-	encoded.MaySend = func() bool { return h.stillServes(send.Endpoint) }
+	encoded.MaySend = func() bool { return h.maySend(t.number, send.Endpoint) }
 	response, err := h.connections.Exchange(ctx, encoded)
 	if err != nil {
 		return h.failAttempt(parent, ctx, t, err)
@@ -86,12 +87,13 @@
 	return h.relayWhole(parent, ctx, t, response, result)
 }
 
-// stillServes reports whether a chosen endpoint is still registered and not leaving.
-func (h *Host) stillServes(e directory.Endpoint) bool {
+// maySend reports whether a request may still be sent to a chosen endpoint: the endpoint is registered and not leaving, and the
+// state machine has not learned anything against it since.
+func (h *Host) maySend(number uint64, e directory.Endpoint) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known, registered := h.directory.Endpoint(e.ID)
-	return registered && known.SameProcess(e) && !known.Leaving
+	return registered && known.SameProcess(e) && !known.Leaving && h.state.MaySend(h.Now(), number)
 }
 
 // discardBody reads the short response of an endpoint that did not run the request, so that the connection can be
@@ -114,6 +116,9 @@
 	}
 	h.metrics.attempts.WithLabelValues(result.Outcome.String()).Inc()
 	h.Apply(result)
+	if result.EndpointCrashed {
+		h.shareCrash(t)
+	}
 }
 
 // failAttempt ends an attempt without a usable response and reports whether the request is finished.
@@ -126,15 +131,28 @@
 	switch {
 	case errors.Is(err, connection.ErrUnsent):
 		result.Outcome = dispatch.NotSent
+	case errors.Is(err, connection.ErrWithdrawn):
+		result.Outcome = dispatch.Withdrawn
 	case errors.Is(err, connection.ErrConnectionLimit):
 		result.Outcome = dispatch.Refused
 	case errors.Is(context.Cause(ctx), errNoResponse):
 		result.Outcome = dispatch.ResponseTimedOut
+	default:
+		result.EndpointCrashed = h.endpointCrashed(ctx, t)
 	}
 	h.reportAttempt(t, result, err)
 	return false
 }
 
+// endpointCrashed reports whether the endpoint of the last attempt has ended: it has closed the connection of a generation
+// before it began to answer, and refuses new ones.
+func (h *Host) endpointCrashed(ctx context.Context, t *task) bool {
+	if _, isGeneration := t.request.Work.(intake.Generation); !isGeneration || t.responseStarted {
+		return false
+	}
+	return h.connections.Refuses(ctx, t.lastSend.Endpoint.Address)
+}
+
 // relayWhole buffers the complete response before it sends it, so that a truncated response never reaches the caller.
 // It reports whether the request is finished.
 func (h *Host) relayWhole(parent, ctx context.Context, t *task, incoming *connection.Response, result dispatch.AttemptFinished) bool {
@@ -266,6 +284,7 @@
 		h.refuse(t, dispatch.RefuseRequest{Number: t.number, Account: t.lastSend.Account, Route: t.lastSend.Route.Name, Reason: dispatch.AttemptFailed, Ran: dispatch.RanUnknown})
 		return true
 	}
-	h.reportAttempt(t, dispatch.AttemptFinished{Number: t.number, Outcome: outcome}, err)
+	crashed := outcome == dispatch.ResponseLost && h.endpointCrashed(ctx, t)
+	h.reportAttempt(t, dispatch.AttemptFinished{Number: t.number, Outcome: outcome, EndpointCrashed: crashed}, err)
 	return false
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,6 +187,8 @@
 		h.spawn(func(ctx context.Context) { h.repay(ctx, e) })
 	case dispatch.OrderAdapter:
 		h.spawn(func(ctx context.Context) { h.requestAdapter(ctx, e) })
+	case dispatch.PartJudged:
+		h.logJudgment(e)
 	case dispatch.GrantLoan:
 		// peerService.Borrow takes this effect from the state machine and responds to the borrower with it.
 	}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -70,6 +70,8 @@
 	exchangeTurns     map[string]int                 // by pool: exchanges since the start while the lease holder did not respond
 	failedExchanges   map[string]int                 // by id of a lease holder: failed exchanges with it in a row
 	exchanging        map[string]bool                // by pool: an exchange of load is under way
+	crashesSent       map[string]int64               // by id of a host: revision of this host's crashes that it has received
+	crashesReceived   map[string]int64               // by id of a host: revision of its crashes that this host has received
 	leasesReadAt      time.Duration                  // time since boot of the last read of the leases
 	loaded            bool                           // the fleet table was read
 	presentAt         time.Duration                  // when the host's own row was first seen
@@ -92,6 +94,8 @@
 		exchangeTurns:     map[string]int{},
 		failedExchanges:   map[string]int{},
 		exchanging:        map[string]bool{},
+		crashesSent:       map[string]int64{},
+		crashesReceived:   map[string]int64{},
 		leasesReadAt:      -maxLeaseReadInterval,
 		rows:              newTableCopy(memberValidity),
 	}
--- a/entry/loadexchange.go
+++ b/entry/loadexchange.go
@@ -53,9 +53,11 @@
 		EndpointsAfter: h.registry.revision, MembersAfter: h.fleet.rows.revision, Deputies: true,
 	}
 	h.fleet.exchanging[pool] = true
+	sent := h.addCrashes(request, to.ID)
 	asHolder := to.ID == h.believedHolder(pool)
 	h.spawn(func(ctx context.Context) {
 		response, err := client.ReportLoad(ctx, to, h.sender(), request)
+		h.receiveCrashes(to.ID, sent, response, err)
 		h.handleExchange(pool, to.ID, asHolder, response, err)
 	})
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -22,6 +22,7 @@
 	attempts        *prometheus.CounterVec
 	orders          *prometheus.CounterVec
 	store           *prometheus.CounterVec
+	crashes         *prometheus.CounterVec
 	waited          prometheus.Histogram
 	sending         prometheus.Histogram
 	firstEvent      prometheus.Histogram
@@ -74,6 +75,9 @@
 	gauge("members_age_seconds", "The same for the rows of the hosts.", func() float64 { return h.copyAge(&h.fleet.rows).Seconds() })
 	gauge("running_requests", "Requests that have not ended.", func() float64 { return float64(h.countRunning()) })
 	gauge("known_endpoints", "Registered endpoints.", func() float64 { return float64(h.countEndpoints()) })
+	gauge("blocked_parts", "Prompt parts that are blocked because they crash engines.", func() float64 { return float64(h.countParts(true)) })
+	gauge("suspected_parts", "Prompt parts that are suspected of crashing engines and not blocked.", func() float64 { return float64(h.countParts(false)) })
+	m.crashes = counter("crashes_total", "Ends of endpoints that took a request of this host before they began to answer it.", "pool")
 	gauge("held_leases", "Leases that this host holds.", func() float64 { return float64(h.countLeases()) })
 	return m
 }
--- a/entry/peerservice.go
+++ b/entry/peerservice.go
@@ -40,6 +40,7 @@
 	revision, clock := h.store.ConfigState()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.apply(dispatch.EvidenceChanged{Evidence: crashesFromWire(r.GetCrashes())})
 	loads, held := h.recordUse(r.GetPool(), r.GetHeader().GetFrom(), use)
 	if !held && !r.GetDeputies() {
 		return nil, twirp.NewError(twirp.Unavailable, "entry: does not hold the lease")
@@ -51,6 +52,8 @@
 		Configuration: &peer.Changes{Revision: revision, Clock: int64(clock)},
 		Deputy:        !held,
 	}
+	reports, crashRevision := h.state.CrashReports(h.Now(), r.GetCrashesAfter())
+	response.Crashes, response.CrashesRevision = crashesToWire(reports), crashRevision
 	if !held {
 		response.Holder = h.respondingHolder(r.GetPool())
 	}
