entry: what an endpoint's response says of it binds this host at once

Two rules are new: no request later than the drain time after a response with Server-Leaving, in contact with the store or not; and no requests in the time that a 503 states in Retry-After. Before, hosts only knew of leaving endpoints from the table, and passed the stated time on to the caller while they went on sending requests there.

A process that says in any response (to requests, orders and requests for reports) that it leaves stays marked in the directory whatever its registrations say later, so that first attempts, repeats, queued requests and orders leave it out; a new process under the id does not inherit the mark. An endpoint that asks for rest gets no attempt from this host in that time, also if it registers anew, and is not counted as failed. If all endpoints that could serve a request rest for longer than it may be queued, it is refused at once with the remaining time.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -67,13 +67,14 @@
 type Directory struct {
 	endpoints      map[string]Endpoint
 	lapsedUntil    map[string]time.Duration // by endpoint ID: when the lapsed registration is removed
+	leavingSince   map[string]time.Duration // by process: when it said in a response that it leaves
 	unreachable    bool
 	reachableSince time.Duration
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{endpoints: map[string]Endpoint{}, lapsedUntil: map[string]time.Duration{}, reachableSince: -lapseGrace}
+	return &Directory{endpoints: map[string]Endpoint{}, lapsedUntil: map[string]time.Duration{}, leavingSince: map[string]time.Duration{}, reachableSince: -lapseGrace}
 }
 
 // SetUnreachable records that the registry is unreachable.
@@ -93,11 +94,55 @@
 			d.remove(now, c.ID)
 			continue
 		}
-		d.endpoints[c.ID] = c.Endpoint.withSeen(now)
+		d.endpoints[c.ID] = d.withNotice(c.Endpoint.withSeen(now))
 		delete(d.lapsedUntil, c.ID)
 	}
 }
 
+// leavingMemory is how long a process that is not registered any more counts as leaving if it registers again.
+const leavingMemory = time.Hour
+
+// MarkLeaving records that a process has said in a response that it leaves, which holds whatever its registrations say later. It
+// reports whether that is new.
+func (d *Directory) MarkLeaving(now time.Duration, e Endpoint) bool {
+	process := e.Process()
+	if _, known := d.leavingSince[process]; known {
+		return false
+	}
+	d.leavingSince[process] = now
+	if registered, found := d.endpoints[e.ID]; found {
+		d.endpoints[e.ID] = d.withNotice(registered)
+	}
+	return true
+}
+
+// withNotice returns a registration that says that the endpoint leaves if its process has said so in a response.
+func (d *Directory) withNotice(e Endpoint) Endpoint {
+	if _, leaving := d.leavingSince[e.Process()]; leaving {
+		e.Leaving = true
+	}
+	return e
+}
+
+// forgetLeaving drops the processes that said long ago that they leave and are not registered.
+func (d *Directory) forgetLeaving(now time.Duration) {
+	for process, since := range d.leavingSince {
+		if now-since > leavingMemory && !d.isRegistered(process) {
+			delete(d.leavingSince, process)
+		}
+	}
+}
+
+// isRegistered reports whether a process is registered.
+func (d *Directory) isRegistered(process string) bool {
+	for _, e := range d.endpoints {
+		if e.Process() == process {
+			return true
+		}
+	}
+	return false
+}
+
 // remove removes an endpoint. It only marks the endpoint as lapsed when the registration may have ended because the
 // registry was unreachable.
 func (d *Directory) remove(now time.Duration, id string) {
@@ -116,6 +161,7 @@
 
 // RemoveLapsed removes the lapsed registrations that were not renewed within lapseGrace and reports whether there were any.
 func (d *Directory) RemoveLapsed(now time.Duration) bool {
+	d.forgetLeaving(now)
 	removed := false
 	for id, until := range d.lapsedUntil {
 		if now >= until {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -111,3 +111,32 @@
 		t.Run(name, func(t *testing.T) { qt.Check(t, e.SameProcess(test.other), qt.Equals, test.want) })
 	}
 }
+
+// TestMarkLeaving guards against an endpoint that is taken to be ready although its process has said in a response that it leaves,
+// and against a later process that inherits that.
+func TestMarkLeaving(t *testing.T) {
+	for name, test := range map[string]struct {
+		changes []directory.Change
+		want    bool
+	}{
+		"registered as ready again":  {[]directory.Change{registered("a")}, true},
+		"removed and registered":     {[]directory.Change{removed("a"), registered("a")}, true},
+		"another process":            {[]directory.Change{{ID: "a", Endpoint: directory.Endpoint{ID: "a", StartedAt: 2}}}, false},
+		"another process and back":   {[]directory.Change{{ID: "a", Endpoint: directory.Endpoint{ID: "a", StartedAt: 2}}, registered("a")}, true},
+		"another address, same time": {[]directory.Change{{ID: "a", Endpoint: directory.Endpoint{ID: "a", StartedAt: 1, Address: "10.0.0.9:80"}}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := directory.New()
+			d.SetReachable(0)
+			d.Apply(time.Minute, []directory.Change{registered("a")})
+			before, _ := d.Endpoint("a")
+			qt.Check(t, d.MarkLeaving(time.Minute, before), qt.IsTrue)
+			qt.Check(t, d.MarkLeaving(time.Minute, before), qt.IsFalse)
+			marked, _ := d.Endpoint("a")
+			qt.Check(t, marked.Leaving, qt.IsTrue)
+			d.Apply(2*time.Minute, test.changes)
+			got, _ := d.Endpoint("a")
+			qt.Check(t, got.Leaving, qt.Equals, test.want)
+		})
+	}
+}
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -205,7 +205,9 @@
 	case Done:
 		ep.failuresInRow, ep.ejection = 0, 0
 	case Failure, ResponseLost, ResponseTimedOut, NotSent:
-		ep.countFailure(now, outcome)
+		if !ep.resting(now) { // an endpoint that asks for rest has not failed
+			ep.countFailure(now, outcome)
+		}
 	case Misdirected, Refused, Cancelled, Withdrawn:
 	}
 }
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -101,6 +101,10 @@
 		s.refuse(now, r, reason, retryAfter)
 		return
 	}
+	if wait := s.allResting(now, r); wait > r.arrivedAt+queueWait(r)-now {
+		s.refuse(now, r, reason, max(retryAfter, wait))
+		return
+	}
 	s.enqueue(now, r)
 }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -74,6 +74,7 @@
 	result.TimeToFirstByte = h.Now() - started
 	t.sendingTime = started - send.ChosenAt + response.SentAt.Sub(began)
 	h.metrics.sending.Observe(t.sendingTime.Seconds())
+	h.heedNotice(send.Endpoint, platform.DecodeNotice(response.Response))
 	class := platform.ClassifyResponse(response.Response)
 	result.Outcome, result.RetryAfter = class.Outcome, class.RetryAfter
 	if !class.Usable {
@@ -96,6 +97,23 @@
 	return registered && known.SameProcess(e) && !known.Leaving && h.state.MaySend(h.Now(), number)
 }
 
+// heedNotice applies what an endpoint's response says of the endpoint: it leaves, or it wants no requests for some time.
+func (h *Host) heedNotice(e directory.Endpoint, notice platform.Notice) {
+	if notice == (platform.Notice{}) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if notice.Rest > 0 {
+		h.log.Info("entry: endpoint asked for rest", "endpoint", e.ID, "for", notice.Rest.String())
+		h.apply(dispatch.EndpointResting{Endpoint: e, For: notice.Rest})
+	}
+	if notice.Leaving && h.directory.MarkLeaving(h.Now(), e) {
+		h.log.Info("entry: endpoint said in a response that it leaves", "endpoint", e.ID, "address", e.Address)
+		h.publishEndpoints()
+	}
+}
+
 // discardBody reads the short response of an endpoint that did not run the request, so that the connection can be
 // reused. If the response is not the endpoint's own, it marks the connection to be closed instead.
 func (h *Host) discardBody(response *connection.Response, outcome dispatch.Outcome) {
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -68,6 +68,12 @@
 
 // newHost returns a host that serves streams from the given engines, without a store and without other hosts.
 func newHost(t *testing.T, engines ...*scriptedEndpoint) *httptest.Server {
+	_, server := newHostAndServer(t, engines...)
+	return server
+}
+
+// newHostAndServer is newHost for tests that use the host itself, too.
+func newHostAndServer(t *testing.T, engines ...*scriptedEndpoint) (*Host, *httptest.Server) {
 	h := New(config.Entry{Name: "self", Domain: "near", Retries: config.Retries{Ratio: 0.2, MinRetries: 10, Window: document.Duration(10 * time.Second)}}, hclog.NewNullLogger())
 	shares := []catalog.WeightedPool{{Pool: "p", Weight: 1}}
 	h.Apply(dispatch.ConfigurationChanged{Catalog: catalog.New(catalog.Document{
@@ -79,18 +85,29 @@
 		Pools: []catalog.Pool{{Name: "p", Engine: &catalog.Engine{Slots: 8, Models: map[string]catalog.Model{"m": {Name: "m"}}}}},
 	})})
 	h.Apply(dispatch.MembersChanged{Members: []dispatch.Member{{Name: "self", ID: "1"}}})
-	var changes []directory.Change
 	for n, e := range engines {
-		id := fmt.Sprint("e", n)
-		changes = append(changes, directory.Change{ID: id, Endpoint: directory.Endpoint{ID: id, Pool: "p", Address: e.address, Domain: "near", Slots: 8, Models: []directory.Model{{Name: "m"}}}})
+		register(h, directory.Endpoint{ID: fmt.Sprint("e", n), Address: e.address})
 	}
-	h.mu.Lock()
-	h.directory.Apply(h.Now(), changes)
-	h.publishEndpoints()
-	h.mu.Unlock()
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	return server
+	return h, server
+}
+
+// register registers an engine of which the ID, the address, and the time of its start if any are given.
+func register(h *Host, e directory.Endpoint) {
+	e.Pool, e.Domain, e.Slots, e.Models = "p", "near", 8, []directory.Model{{Name: "m"}}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.directory.Apply(h.Now(), []directory.Change{{ID: e.ID, Endpoint: e}})
+	h.publishEndpoints()
+}
+
+// unregister removes the registration of an engine.
+func unregister(h *Host, id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.directory.Apply(h.Now(), []directory.Change{{ID: id, Removed: true}})
+	h.publishEndpoints()
 }
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -106,7 +106,7 @@
 	}
 	h.stopSignal.began = make(chan struct{})
 	h.registry.tableCopy = newTableCopy(fractionOf(settings.DrainLimit, endpointValidityFraction))
-	h.engines = platform.NewEngineClient(h.connections, settings.Name)
+	h.engines = platform.NewEngineClient(h.connections, settings.Name, h.heedNotice)
 	h.fleet = newFleet(cmp.Or(settings.AdvertisedAddress, settings.Peers), settings.Domain, settings.ProcessorShare*settings.LinkMbps)
 	h.store = &storeAccess{store: platform.NewStore(settings.Store), otherHosts: h.otherHosts, self: h.sender(), now: h.Now, maxSilence: settings.MaxStoreSilence.Std()}
 	h.metrics = newMetrics(h)
