--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"magnoliahoist/directory"
@@ -100,14 +101,15 @@
 		"table", h.registry.revision, "source", h.registry.source, "age", h.age(&h.registry.tableCopy).String())
 }
 
-// decodeRegistrations decodes rows of the endpoint table. Malformed rows are logged and skipped.
+// decodeRegistrations decodes rows of the endpoint table. A malformed row is logged and names no endpoint: one that was registered
+// in it before is removed.
 func (h *Host) decodeRegistrations(rows []table.Row) []directory.Change {
 	changes := make([]directory.Change, 0, len(rows))
 	for _, row := range rows {
 		c, err := platform.DecodeRegistration(row)
 		if err != nil {
 			h.log.Warn("entry: unable to decode a registration", "row", row.Key, "revision", row.Revision, "error", err)
-			continue
+			c = directory.Change{ID: strings.TrimPrefix(row.Key, platform.EndpointTable+"/"), Revision: row.Revision, Removed: true}
 		}
 		changes = append(changes, c)
 	}
