entry: a broken stream stays broken for the caller, whatever comes next

Operators of other systems reported error texts in the middle of streams, and streams that ended as if they were complete. Both could happen here:

* After a stream had begun and broken off, a 4xx, a 2xx other than 200, or a 200 of another type from the endpoint that should resume it was written into the stream.
Such a response now counts as a failure of that endpoint.
* A caller of HTTP/1.0 takes the end of the connection for the end of the response, and a broken stream ended with an ordinary close.
It is reset now.
* A response without length and chunks ended complete for the caller when its endpoint crashed between two events, or before the first one.
The host now probes the endpoint at the end of such a response; a stream without events that ends with its connection counts as broken off.

--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -177,6 +177,11 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the response has neither a length nor chunks, so that its body ends with the connection.
+func (r *Response) EndsWithConnection() bool {
+	return r.Response.ContentLength < 0 && len(r.Response.TransferEncoding) == 0
+}
+
 // DiscardOnClose makes Close close the connection instead of keeping it for later exchanges.
 func (r *Response) DiscardOnClose() { r.noReuse = true }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -28,6 +28,7 @@
 const (
 	errNoResponse      = errors.ConstError("endpoint did not respond in time")
 	errResponseTooLong = errors.ConstError("response is too long")
+	errBrokenOff       = errors.ConstError("response ended with the connection of an endpoint that has gone, or before an event")
 )
 
 // bufferedResponse is an endpoint's complete response.
@@ -82,6 +83,11 @@
 		h.reportAttempt(t, result, nil)
 		return false
 	}
+	if t.headWritten && !t.continues(response) {
+		response.DiscardOnClose()
+		h.reportAttempt(t, dispatch.AttemptFinished{Number: t.number, Outcome: dispatch.Failure}, nil)
+		return false
+	}
 	if send.Route.Stream && response.StatusCode == http.StatusOK {
 		return h.relayStream(parent, ctx, t, response)
 	}
@@ -177,6 +183,9 @@
 	reader := &boundedReader{source: incoming, total: &h.bufferedBytes, maxTotal: int64(bufferedMemoryFraction * float64(h.settings.MemoryMB*megabyte))}
 	defer reader.release()
 	body, err := io.ReadAll(reader)
+	if err == nil && h.endedByCrash(ctx, t, incoming) {
+		err = errBrokenOff
+	}
 	if err != nil {
 		return h.failAttempt(parent, ctx, t, errors.WithType(errors.Annotate(err, "entry: unable to read a response"), connection.ErrNoResponse))
 	}
@@ -195,6 +204,11 @@
 	return true
 }
 
+// endedByCrash reports whether the body of a response that ends with its connection ended because the endpoint has gone.
+func (h *Host) endedByCrash(ctx context.Context, t *task, response *connection.Response) bool {
+	return response.EndsWithConnection() && h.connections.Refuses(ctx, t.lastSend.Endpoint.Address)
+}
+
 // boundedReader reads a response into memory, within bounds for one response and for all buffered responses.
 type boundedReader struct {
 	source   io.Reader
@@ -256,6 +270,9 @@
 		if err == nil {
 			continue
 		}
+		if err == io.EOF && response.EndsWithConnection() && (!t.responseStarted || h.endedByCrash(ctx, t, response)) {
+			return h.failStream(parent, ctx, t, errBrokenOff)
+		}
 		if err == io.EOF && events.empty() {
 			return h.finishStream(t, response)
 		}
@@ -274,6 +291,11 @@
 	t.writer.WriteHeader(response.StatusCode)
 }
 
+// continues reports whether a response continues the stream that the caller has received the beginning of.
+func (t *task) continues(response *connection.Response) bool {
+	return response.StatusCode == http.StatusOK && response.Header.Get("Content-Type") == t.writer.Header().Get("Content-Type")
+}
+
 // finishStream ends a complete stream.
 func (h *Host) finishStream(t *task, response *connection.Response) bool {
 	h.reportAttempt(t, dispatch.AttemptFinished{Number: t.number, Outcome: dispatch.Done, ResponseStarted: true}, nil)
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -88,7 +88,9 @@
 	for n, e := range engines {
 		register(h, directory.Endpoint{ID: fmt.Sprint("e", n), Address: e.address})
 	}
-	server := httptest.NewServer(h)
+	server := httptest.NewUnstartedServer(h)
+	server.Config.ConnContext = withConn
+	server.Start()
 	t.Cleanup(server.Close)
 	return h, server
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -197,6 +198,26 @@
 	h.log.Info("entry: refused", "request", t.request.ID, "reason", e.Reason.String(), "ran", e.Ran.String(), "status", status, "account", e.Account,
 		"route", e.Route, "work", t.request.Describe(), "after", (h.Now() - t.arrived).String(), "retry", e.RetryAfter.String(), "waiting", e.QueueLength, "inputs", e.DecisionInputs, "endpoint", t.lastSend.Endpoint.ID, "begun", t.headWritten)
 	if t.headWritten {
-		panic(http.ErrAbortHandler)
+		h.breakOff(t)
+	}
+}
+
+// breakOff closes the caller's connection in the middle of a response. A caller of HTTP/1.0 takes the end of the connection for the
+// end of the response, so that its connection is reset.
+func (h *Host) breakOff(t *task) {
+	conn, isTCP := t.request.HTTPRequest.Context().Value(connKey{}).(*net.TCPConn)
+	if isTCP && !t.request.HTTPRequest.ProtoAtLeast(1, 1) {
+		if err := conn.SetLinger(0); err != nil {
+			h.log.Warn("entry: unable to reset a caller's connection", "request", t.request.ID, "error", err)
+		}
 	}
+	panic(http.ErrAbortHandler)
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn adds a connection to the context of its requests.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -40,6 +40,7 @@
 		IdleTimeout:       idleConnTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          h.log.StandardLogger(nil),
+		ConnContext:       withConn,
 	}}, nil
 }
 
