entry, cli: blocked prompt parts outlive all hosts, and operators see and lift them

A fleet whose hosts were all killed forgot which parts crash engines and paid for that with further crashes. The holder of a lease now keeps the evidence against blocked parts in a row of the fleet table, which hosts read at their start; it is written when the evidence changes, at most once a second.

/v1/quarantine of a host's operators' listener and the commands quarantine list and quarantine lift show the parts under suspicion with their crashes, and take a part to be sound on all hosts.

TestPlatformQuarantine: a part that was blocked is blocked on two hosts that start after all others were killed, and no request with it reaches an engine; lifted on one host, it is lifted on the other and served.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -30,21 +30,22 @@
 	hostFlags
 	Output string `short:"o" enum:"text,json" default:"text" help:"Output format: text or json."`
 
-	Host     hostCommand     `cmd:"" help:"Run an entry host."`
-	Entry    entryCommand    `cmd:"" help:"Run an entry host on a platform whose endpoints register themselves."`
-	Dev      devCommand      `cmd:"" help:"Run a host and stand-ins for all services and endpoints in one process, with example tables."`
-	Standin  standinCommand  `cmd:"" hidden:"" help:"Run a stand-in for a service of the platform or for an endpoint."`
-	Bench    benchCommand    `cmd:"" help:"Measure the policy and its baselines on a virtual clock."`
-	Check    checkCommand    `cmd:"" help:"Check tables and settings without asking a host."`
-	Apply    applyCommand    `cmd:"" help:"Replace tables and wait until they are in force."`
-	Get      getCommand      `cmd:"" help:"Print a table."`
-	Key      keyCommands     `cmd:"" help:"Issue, withdraw and list keys."`
-	Status   statusCommand   `cmd:"" help:"Print the status of a host."`
-	Drain    drainCommand    `cmd:"" help:"Stop a host once its requests have ended, and wait until it has stopped."`
-	Timeline timelineCommand `cmd:"" help:"Print the events of all hosts in causal order."`
-	Config   configCommands  `cmd:"" help:"Print settings."`
-	Health   healthCommand   `cmd:"" help:"Print whether a host accepts calls; fail if it doesn't."`
-	Version  versionCommand  `cmd:"" help:"Print the version."`
+	Host       hostCommand        `cmd:"" help:"Run an entry host."`
+	Entry      entryCommand       `cmd:"" help:"Run an entry host on a platform whose endpoints register themselves."`
+	Dev        devCommand         `cmd:"" help:"Run a host and stand-ins for all services and endpoints in one process, with example tables."`
+	Standin    standinCommand     `cmd:"" hidden:"" help:"Run a stand-in for a service of the platform or for an endpoint."`
+	Bench      benchCommand       `cmd:"" help:"Measure the policy and its baselines on a virtual clock."`
+	Check      checkCommand       `cmd:"" help:"Check tables and settings without asking a host."`
+	Apply      applyCommand       `cmd:"" help:"Replace tables and wait until they are in force."`
+	Get        getCommand         `cmd:"" help:"Print a table."`
+	Key        keyCommands        `cmd:"" help:"Issue, withdraw and list keys."`
+	Status     statusCommand      `cmd:"" help:"Print the status of a host."`
+	Drain      drainCommand       `cmd:"" help:"Stop a host once its requests have ended, and wait until it has stopped."`
+	Timeline   timelineCommand    `cmd:"" help:"Print the events of all hosts in causal order."`
+	Quarantine quarantineCommands `cmd:"" help:"List prompt parts that are suspected of crashing engines, and lift the suspicion."`
+	Config     configCommands     `cmd:"" help:"Print settings."`
+	Health     healthCommand      `cmd:"" help:"Print whether a host accepts calls; fail if it doesn't."`
+	Version    versionCommand     `cmd:"" help:"Print the version."`
 }
 
 // exitCode is the value of the panic with which Hooks.Run leaves the parser once that has printed help.
--- a/dispatch/quarantine.go
+++ b/dispatch/quarantine.go
@@ -177,6 +177,11 @@
 	return s.ledger.Reports(now, after)
 }
 
+// BlockEvidence returns the crashes that count against blocked parts, to be kept for hosts that start.
+func (s *State) BlockEvidence(now time.Duration) []quarantine.Report {
+	return s.ledger.BlockEvidence(now)
+}
+
 // Quarantine returns the prompt parts under suspicion, in ascending order of pool and id.
 func (s *State) Quarantine(now time.Duration) []quarantine.Entry { return s.ledger.Entries(now) }
 
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -127,6 +127,7 @@
 	if h.directory.RemoveLapsed(now) {
 		h.publishEndpoints()
 	}
+	h.keepEvidence()
 	h.apply(dispatch.Tick{}) // repays expired loans
 	h.mu.Unlock()
 	h.connections.CloseExpired()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -59,26 +59,28 @@
 
 // fleet is what this host knows of all hosts. The lock of Host guards it.
 type fleet struct {
-	self              member
-	members           map[string]member              // by name
-	revisions         map[string]int64               // of the members' rows, by name
-	lastHeard         map[string]time.Duration       // by member id: time of the last load report; kept by lease holders
-	leases            map[string]*lease.RenewedLease // by pool
-	unresponsiveSince map[string]time.Duration       // by pool: time since boot from which the lease holder has not responded
-	namedHolders      map[string]string              // by pool: id of the lease holder that a deputy has named; absent if the lease's row says it
-	successions       map[string]lease.Succession    // by pool; empty after a change of the members
-	exchangeTurns     map[string]int                 // by pool: exchanges since the start while the lease holder did not respond
-	failedExchanges   map[string]int                 // by id of a lease holder: failed exchanges with it in a row
-	exchanging        map[string]bool                // by pool: an exchange of load is under way
-	crashesSent       map[string]int64               // by id of a host: revision of this host's crashes that it has received
-	crashesReceived   map[string]int64               // by id of a host: revision of its crashes that this host has received
-	leasesReadAt      time.Duration                  // time since boot of the last read of the leases
-	loaded            bool                           // the fleet table was read
-	presentAt         time.Duration                  // when the host's own row was first seen
-	rows              tableCopy
-	secret            string
-	server            http.Handler // for other hosts; nil until the secret is known
-	client            *peer.Client
+	self                member
+	members             map[string]member              // by name
+	revisions           map[string]int64               // of the members' rows, by name
+	lastHeard           map[string]time.Duration       // by member id: time of the last load report; kept by lease holders
+	leases              map[string]*lease.RenewedLease // by pool
+	unresponsiveSince   map[string]time.Duration       // by pool: time since boot from which the lease holder has not responded
+	namedHolders        map[string]string              // by pool: id of the lease holder that a deputy has named; absent if the lease's row says it
+	successions         map[string]lease.Succession    // by pool; empty after a change of the members
+	exchangeTurns       map[string]int                 // by pool: exchanges since the start while the lease holder did not respond
+	failedExchanges     map[string]int                 // by id of a lease holder: failed exchanges with it in a row
+	exchanging          map[string]bool                // by pool: an exchange of load is under way
+	crashesSent         map[string]int64               // by id of a host: revision of this host's crashes that it has received
+	crashesReceived     map[string]int64               // by id of a host: revision of its crashes that this host has received
+	keptEvidence        string                         // what the row of evidence against prompt parts says, without times
+	quarantineWrittenAt time.Duration                  // when this host last wrote that row
+	leasesReadAt        time.Duration                  // time since boot of the last read of the leases
+	loaded              bool                           // the fleet table was read
+	presentAt           time.Duration                  // when the host's own row was first seen
+	rows                tableCopy
+	secret              string
+	server              http.Handler // for other hosts; nil until the secret is known
+	client              *peer.Client
 }
 
 func newFleet(address, domain string, power float64) fleet {
@@ -129,6 +131,8 @@
 			h.applyMemberRow(strings.TrimPrefix(row.Key, memberPrefix), row)
 		case row.Key == secretKey:
 			h.applySecretRow(row)
+		case row.Key == quarantineKey:
+			h.applyQuarantineRow(row)
 		}
 	}
 	h.publishMembers()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -110,6 +110,8 @@
 func (h *Host) operatorHandler() http.Handler {
 	mux := goji.NewMux()
 	mux.Handle(pat.Get("/metrics"), promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc(pat.Get("/v1/quarantine"), h.serveQuarantine)
+	mux.HandleFunc(pat.Delete("/v1/quarantine/:pool/:part"), h.serveLift)
 	mux.HandleFunc(pat.Get("/v1/status"), func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := json.NewEncoder(w).Encode(h.status()); err != nil {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -39,6 +39,7 @@
 	maxParts      = 64  // of one request
 	maxAnswered   = 8192
 	maxReports    = 64 // in one answer of Reports
+	maxKept       = 32 // in the answer of BlockEvidence
 	maxProcessLen = 256
 )
 
@@ -266,5 +267,28 @@
 	return reports, revision
 }
 
+// BlockEvidence returns the newest crashes that count against blocked parts, at most maxKept, in ascending order of
+// their processes. They have no other suspects than these parts.
+func (l *Ledger) BlockEvidence(now time.Duration) []Report {
+	var kept []*crash
+	for part := range l.blocked {
+		for _, c := range l.byPart[part] {
+			if !slices.Contains(kept, c) {
+				kept = append(kept, c)
+			}
+		}
+	}
+	slices.SortFunc(kept, func(a, b *crash) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.process, b.process)) })
+	kept = kept[max(len(kept)-maxKept, 0):]
+	slices.SortFunc(kept, func(a, b *crash) int { return cmp.Compare(a.process, b.process) })
+	reports := make([]Report, 0, len(kept))
+	for _, c := range kept {
+		r := c.report(now)
+		r.Suspects = slices.DeleteFunc(r.Suspects, func(s Suspect) bool { return s.Cleared || !l.blocked[Part{c.pool, s.Part}] })
+		reports = append(reports, r)
+	}
+	return reports
+}
+
 // Revision returns the number of changes of the ledger.
 func (l *Ledger) Revision() int64 { return l.revision }
--- a/system/platform_crash_test.go
+++ b/system/platform_crash_test.go
@@ -1,6 +1,7 @@
 package system_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"magnoliahoist/fault"
+	"magnoliahoist/operator"
 	"magnoliahoist/platform/fakeplatform"
 )
 
@@ -103,3 +105,69 @@
 	qt.Check(t, log.lateArrivals() <= lateRequests, qt.IsTrue, qt.Commentf("late arrivals: %d", log.lateArrivals()))
 	qt.Check(t, 2*served >= sound, qt.IsTrue, qt.Commentf("served %d of %d", served, sound))
 }
+
+// quarantine returns the prompt parts that a host suspects, as "PART blocked" or "PART suspected".
+func (s *site) quarantine(n int) []string {
+	s.t.Helper()
+	client := operator.NewClient(s.operatorAddresses[n], "", s.client)
+	list, err := client.Quarantine(context.Background())
+	if err != nil {
+		return nil
+	}
+	parts := []string{}
+	for _, p := range list {
+		state := "suspected"
+		if p.Blocked {
+			state = "blocked"
+		}
+		parts = append(parts, p.Part+" "+state)
+	}
+	return parts
+}
+
+// TestPlatformQuarantine guards against hosts that disagree on a blocked part, against a fleet that has forgotten it after all hosts
+// were killed, and against a block that operators can't lift.
+func TestPlatformQuarantine(t *testing.T) {
+	parallelFleet(t)
+	s := newSite(t, 2)
+	for range 3 {
+		s.startEngine("m1")
+	}
+	s.leaseHolder()
+	time.Sleep(time.Second) // until all hosts know the engines
+	setFaults(t, fault.Faults{DeadlyPart: deadlyPart}, s.engines...)
+	sound := siteRequest{path: "/draft/1", key: "k1", model: "m1", parts: "aa01:10,bb01:10,d0:10"}
+	crashes := 0
+	s.eventually("the part is blocked for long on all hosts", func() bool {
+		s.ask(siteRequest{host: crashes % 2, path: "/draft/1", key: "k1", model: "m1", parts: fmt.Sprintf("aa01:10,bb01:10,%s:10,c%x:10", deadlyPart, crashes)})
+		s.ask(sound)
+		crashes++
+		time.Sleep(50 * time.Millisecond)
+		return len(s.crashLog().crashes) >= 4 && slices.Contains(s.quarantine(0), deadlyPart+" blocked") && slices.Contains(s.quarantine(1), deadlyPart+" blocked")
+	})
+	time.Sleep(3 * time.Second) // until the lease holder has written it to the store
+	for n := range 2 {
+		s.hosts[n].Kill()
+	}
+	s.startHost("host2")
+	s.startHost("host3")
+	for n := 2; n < 4; n++ {
+		s.eventually("a host that has started knows the part", func() bool { return slices.Contains(s.quarantine(n), deadlyPart+" blocked") })
+		s.eventually("a host that has started is ready", func() bool { return s.isReady(n) })
+	}
+	before := len(s.crashLog().arrivals)
+	got := s.ask(siteRequest{host: 2, path: "/draft/1", key: "k1", model: "m1", parts: "aa01:10," + deadlyPart + ":10,c1:10"})
+	qt.Check(t, got.status, qt.Equals, 503)
+	qt.Check(t, got.header.Get("Retry-After"), qt.Equals, "")
+	qt.Check(t, len(s.crashLog().arrivals), qt.Equals, before)
+	sound.host = 3
+	s.eventually("sound requests are served", func() bool { return s.ask(sound).status == 200 })
+	setFaults(t, fault.Faults{}, s.engines...)
+	qt.Check(t, operator.NewClient(s.operatorAddresses[2], "", s.client).LiftPart(context.Background(), "llm", deadlyPart), qt.IsNil)
+	for n := 2; n < 4; n++ {
+		s.eventually("the part is lifted on all hosts", func() bool { return len(s.quarantine(n)) == 0 })
+	}
+	s.eventually("requests with the part are served", func() bool {
+		return s.ask(siteRequest{host: 3, path: "/draft/1", key: "k1", model: "m1", parts: "aa01:10," + deadlyPart + ":10,c1:10"}).status == 200
+	})
+}
