--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -119,3 +121,36 @@
 		qt.Check(t, seconds > 2 && seconds <= 3, qt.IsTrue, qt.Commentf("Retry-After: %s", header.Get("Retry-After")))
 	}
 }
+
+// TestLateRefusal guards against a caller that is told "not run" although the endpoint runs its request: the endpoint has written
+// an earlier refusal once more on a kept connection.
+func TestLateRefusal(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader, refusal := bufio.NewReader(conn), ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if refusal == "" {
+				refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + request.Header.Get("X-Request-Id") + "\r\nContent-Length: 0\r\n\r\n"
+				io.WriteString(conn, refusal)
+				continue
+			}
+			io.WriteString(conn, refusal+fakeplatform.StreamResponseHead(request)+chunk("id: 1\ndata: a\n\n")+"0\r\n\r\n")
+		}
+	}()
+	host := newHost(t, &scriptedEndpoint{address: listener.Addr().String()})
+	status, _ := ask(t, host, "r1")
+	qt.Check(t, status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = ask(t, host, "r2")
+	qt.Check(t, status, qt.Equals, http.StatusOK)
+}
