soak: endpoints that say in responses that they leave, and that ask for rest

The stand-in for endpoints says in every response that it leaves while it does, and a new failure refuses requests and asks for none for two seconds. The trial checks both promises for each host: no request to a process that a caller sent later than the drain time after a response that said so had been passed on, in contact with the store or not; no more than two requests from half a second after a refusal to the end of the time that it states. Rests are drawn from a random source of their own, so that the other steps of a seed stay as they are.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -23,6 +23,7 @@
 	SwapReply   int               `json:"swapReply,omitempty"`   // responses that are marked as belonging to another request
 	Full        bool              `json:"full,omitempty"`        // requests are refused and marked as not run
 	LoseEvent   int               `json:"loseEvent,omitempty"`   // cache events that are not sent, so that their numbers have a gap
+	Rest        document.Duration `json:"rest,omitempty"`        // requests are refused, marked as not run, and the caller is asked to send none for this time
 	DeadlyPart  string            `json:"deadlyPart,omitempty"`  // an engine that begins to respond to a request with this prompt part crashes
 	Lag         document.Duration `json:"lag,omitempty"`         // how far load reports and cache events lag behind
 }
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -112,6 +112,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
+	e.LeavingEndpoint = fakeplatform.LeavingEndpoint(response.Header)
 	e.Status, e.HasResponseStamp, e.Complete, e.ResponseBody = response.StatusCode, fakeplatform.HasResponseStamp(response.Header), err == nil, string(body)
 }
 
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -33,6 +33,8 @@
 	slowDelay        = 100 * time.Millisecond
 	lateDelay        = 1500 * time.Millisecond
 	faultyOperations = 20 // operations that one failure affects
+	// restTime is the time for which an endpoint asks for no requests.
+	restTime = 2 * time.Second
 	// stopMargin is added to the grace period because the machine is shared.
 	stopMargin = 3 * time.Second
 )
@@ -257,6 +259,8 @@
 		return fault.Faults{SwapReply: faultyOperations}
 	case soak.Full:
 		return fault.Faults{Full: true}
+	case soak.Rest:
+		return fault.Faults{Rest: document.Duration(restTime)}
 	case soak.LateOrders:
 		return fault.Faults{LateOrder: document.Duration(lateDelay)}
 	default:
--- a/soak/kind_string.go
+++ b/soak/kind_string.go
@@ -63,11 +63,12 @@
 	_ = x[SwapReplies-6]
 	_ = x[Full-7]
 	_ = x[LateOrders-8]
+	_ = x[Rest-9]
 }
 
-const _Failure_name = "DownSlowLoseRepliesLateWritesCompactCutStreamsSwapRepliesFullLateOrders"
+const _Failure_name = "DownSlowLoseRepliesLateWritesCompactCutStreamsSwapRepliesFullLateOrdersRest"
 
-var _Failure_index = [...]uint8{0, 4, 8, 19, 29, 36, 46, 57, 61, 71}
+var _Failure_index = [...]uint8{0, 4, 8, 19, 29, 36, 46, 57, 61, 71, 75}
 
 func (i Failure) String() string {
 	idx := int(i) - 0
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -118,6 +118,7 @@
 	SwapReplies                // endpoints only: responses are swapped between requests
 	Full                       // endpoints only: requests are refused as not run
 	LateOrders                 // engines only: orders are carried out after the connection was closed
+	Rest                       // endpoints only: requests are refused as not run, and none are wanted for restTime
 )
 
 var storeFailures = []Failure{Down, Slow, LoseReplies, LateWrites, Compact}
@@ -138,6 +139,9 @@
 	maxLeaves        = 4
 	minLeaveDuration = 3 * time.Second
 	maxLeaveDuration = 6 * time.Second
+	// At most maxRests endpoints ask for rest in a trial; each refuses for restDuration.
+	maxRests     = 2
+	restDuration = time.Second
 	// silentStoreProbability is the probability that one host loses contact with the store around an endpoint's leaving, beginning
 	// silentStoreLead before it.
 	silentStoreProbability = 0.5
@@ -165,7 +169,18 @@
 	for range minSteps + r.IntN(maxSteps-minSteps+1) {
 		steps = append(steps, Step{At: randomDuration(0, length), For: randomDuration(minFaultDuration, maxFaultDuration), Act: drawAct(r, sizes)})
 	}
-	return sortByTime(append(steps, leaves...))
+	return sortByTime(append(append(steps, leaves...), drawRests(seed, sizes, length)...))
+}
+
+// drawRests draws the endpoints that ask for rest. It has its own random source, like drawLeaves.
+func drawRests(seed uint64, sizes Sizes, length time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, 3))
+	var steps []Step
+	for range r.IntN(maxRests + 1) {
+		at := time.Duration(r.Int64N(int64(length))).Round(time.Millisecond)
+		steps = append(steps, Step{At: at, For: restDuration, Act: FailEndpoint{r.IntN(sizes.Endpoints), Rest}})
+	}
+	return steps
 }
 
 // sortByTime sorts steps by their start, in place.
--- a/soak/trial.go
+++ b/soak/trial.go
@@ -25,6 +25,7 @@
 	HasResponseStamp bool          // the response has an endpoint's response stamp
 	Complete         bool          // the whole body arrived
 	ResponseBody     string
+	LeavingEndpoint  string // id of the endpoint if the response says that the endpoint leaves
 }
 
 // Guarantees are the guarantees that are checked, with their bounds.
@@ -67,6 +68,8 @@
 		}
 		t.checkOrders(id, history.Orders, report)
 		t.checkLeaving(id, history, report)
+		t.checkLeavingResponses(id, history, report)
+		t.checkRests(id, history, report)
 	}
 	sent := map[string]bool{}
 	for _, e := range t.Exchanges {
@@ -214,6 +217,96 @@
 	}
 }
 
+// checkLeavingResponses checks that a host that has passed on a response which says that its endpoint leaves sends that process no
+// request that a caller sent later than DrainPeriod after, in contact with the store or not.
+func (t Trial) checkLeavingResponses(id string, history fakeplatform.History, report reportFunc) {
+	runs := map[string]fakeplatform.Run{}
+	for _, r := range history.Runs {
+		runs[r.ID] = *r
+	}
+	for _, told := range t.Exchanges {
+		restart, known := restartAfter(history, t.StartedAt.Add(told.SentAt).UnixMilli())
+		if told.LeavingEndpoint != id || !known {
+			continue
+		}
+		for _, e := range t.Exchanges {
+			r, ran := runs[e.ID]
+			if !ran || e.Host != told.Host || e.SentAt <= told.EndedAt+t.Guarantees.DrainPeriod || restart > 0 && r.StartedAt >= restart {
+				continue
+			}
+			if !t.hostInterrupted(e.Host, told.EndedAt, t.sinceStart(r.StartedAt)) {
+				report("host %d sent request %s to endpoint %s %v after it had passed on a response that says that the endpoint leaves", e.Host, e.ID, id, e.SentAt-told.EndedAt)
+				return
+			}
+		}
+	}
+}
+
+// restartAfter returns when the process of an endpoint that leaves at a time ended, 0 if it did not; false if no leave period
+// contains that time. Times are Unix milliseconds.
+func restartAfter(history fakeplatform.History, at int64) (int64, bool) {
+	for _, period := range history.LeavePeriods {
+		if period.To == 0 || at < period.To {
+			return period.To, true
+		}
+	}
+	return 0, false
+}
+
+const (
+	// restMargin is how long after its refusal an endpoint may still get requests from a host that it has asked for rest.
+	restMargin = 500 * time.Millisecond
+	// maxRequestsInRest is how many requests an endpoint may get from a host after that in the time that it asked for.
+	maxRequestsInRest = 2
+)
+
+// checkRests checks that an endpoint that has asked a host for rest gets no more than maxRequestsInRest requests from it in that time.
+func (t Trial) checkRests(id string, history fakeplatform.History, report reportFunc) {
+	hostOf := map[string]int{}
+	for _, e := range t.Exchanges {
+		hostOf[e.ID] = e.Host
+	}
+	arrivals := map[int][]time.Duration{} // by host
+	for _, r := range history.Runs {
+		arrivals[hostOf[r.ID]] = append(arrivals[hostOf[r.ID]], t.sinceStart(r.StartedAt))
+	}
+	for _, r := range history.Refusals {
+		arrivals[hostOf[r.ID]] = append(arrivals[hostOf[r.ID]], t.sinceStart(r.At))
+	}
+	for _, refusal := range history.Refusals {
+		host, at := hostOf[refusal.ID], t.sinceStart(refusal.At)
+		count := 0
+		for _, arrival := range arrivals[host] {
+			if arrival > at+restMargin && arrival < at+refusal.Rest.Std() && !t.requestDelayed(id, arrival) {
+				count++
+			}
+		}
+		if count > maxRequestsInRest && !t.hostInterrupted(host, at, at+refusal.Rest.Std()) {
+			report("host %d sent %d requests to endpoint %s in the %v for which it had asked for none", host, count, id, refusal.Rest)
+			return
+		}
+	}
+}
+
+// hostInterrupted reports whether a host was restarted or suspended in the period between two times.
+func (t Trial) hostInterrupted(host int, from, to time.Duration) bool {
+	return slices.ContainsFunc(t.Steps, func(s Step) bool {
+		if s.At >= to || s.End()+t.Guarantees.RecoveryTime <= from {
+			return false
+		}
+		switch a := s.Act.(type) {
+		case KillHost:
+			return a.Host == host
+		case StopHost:
+			return a.Host == host
+		case PauseHost:
+			return a.Host == host
+		default:
+			return false
+		}
+	})
+}
+
 // requestDelayed reports whether a fault of the endpoint or of the links to it may have delayed a request that reached the endpoint at a given time, so that
 // the host may have sent it long before.
 func (t Trial) requestDelayed(id string, at time.Duration) bool {
--- a/soak/trial_test.go
+++ b/soak/trial_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"magnoliahoist/document"
 	"magnoliahoist/platform/fakeplatform"
 	"magnoliahoist/soak"
 )
@@ -49,6 +50,23 @@
 			trial.Exchanges[0].APIKey, trial.Exchanges[0].SentAt, trial.WithdrawnAt = "k2", 4*time.Second, time.Second
 			trial.Steps = []soak.Step{{At: time.Second, For: 2 * time.Second, Act: soak.Disturb{Link: soak.StoreLink, Trouble: soak.Silent}}}
 		}, 0},
+		"request after a response that said leaving":            {func(trial *soak.Trial) { sayLeaving(trial, 3200, 3300, 0) }, 1},
+		"request after a response that said leaving, in time":   {func(trial *soak.Trial) { sayLeaving(trial, 2900, 3300, 0) }, 0},
+		"request after a response that said leaving, restarted": {func(trial *soak.Trial) { sayLeaving(trial, 3200, 3300, 3250) }, 0},
+		"request after a response that said leaving, host suspended": {func(trial *soak.Trial) {
+			sayLeaving(trial, 3200, 3300, 0)
+			trial.Steps = []soak.Step{{At: 2 * time.Second, For: time.Second, Act: soak.PauseHost{}}}
+		}, 0},
+		"request after a response that said leaving, store silent": {func(trial *soak.Trial) {
+			sayLeaving(trial, 3200, 3300, 0)
+			trial.Steps = []soak.Step{{At: 0, For: 9 * time.Second, Act: soak.FailStore{Failure: soak.Down}}}
+		}, 1},
+		"requests in a rest":     {func(trial *soak.Trial) { askForRest(trial, 600, 700, 800) }, 1},
+		"few requests in a rest": {func(trial *soak.Trial) { askForRest(trial, 100, 600, 700, 2100) }, 0},
+		"requests in a rest, host restarted": {func(trial *soak.Trial) {
+			askForRest(trial, 600, 700, 800)
+			trial.Steps = []soak.Step{{At: time.Second, For: time.Second, Act: soak.KillHost{}}}
+		}, 0},
 		"memory exceeded":                         {func(trial *soak.Trial) { trial.Endpoints["e1"] = fakeplatform.History{Crashed: true} }, 1},
 		"two holders too close":                   {func(trial *soak.Trial) { trial.Endpoints["e1"] = history(order("a", 1, 0), order("b", 2, 200)) }, 1},
 		"same fencing number":                     {func(trial *soak.Trial) { trial.Endpoints["e1"] = history(order("a", 1, 0), order("b", 1, 900)) }, 1},
@@ -112,6 +130,28 @@
 	return fakeplatform.History{Runs: []*fakeplatform.Run{&run}, LeavePeriods: []fakeplatform.LeavePeriod{{From: from, To: to}}}
 }
 
+// sayLeaving adds a response at 1,000 that says that endpoint e9 leaves, and a request that was sent at sentAt and ran there at
+// startedAt; the endpoint restarted at restart (0: never). All in milliseconds.
+func sayLeaving(trial *soak.Trial, sentAt, startedAt, restart int64) {
+	trial.Exchanges[0].LeavingEndpoint, trial.Exchanges[0].SentAt, trial.Exchanges[0].EndedAt = "e9", 900*time.Millisecond, time.Second
+	late := soak.Exchange{ID: "r2", Route: "lookup", Path: "/lookup/1", SentAt: time.Duration(sentAt) * time.Millisecond}
+	trial.Exchanges = append(trial.Exchanges, late)
+	run := fakeplatform.Run{ID: "r2", Path: "/lookup/1", StartedAt: startedAt}
+	// The host has no contact with the store, which excuses it from knowing the registration only.
+	trial.Endpoints["e9"] = fakeplatform.History{Runs: []*fakeplatform.Run{&run}, LeavePeriods: []fakeplatform.LeavePeriod{{From: 2000, To: restart}}}
+}
+
+// askForRest adds a refusal by endpoint e9 at 1,000 that asks for rest of two seconds, and further refusals of requests of the same
+// host at some times after it. All in milliseconds.
+func askForRest(trial *soak.Trial, after ...int64) {
+	rest := document.Duration(2 * time.Second)
+	refusals := []fakeplatform.Refusal{{ID: "r1", At: 1000, Rest: rest}}
+	for _, ms := range after {
+		refusals = append(refusals, fakeplatform.Refusal{ID: "r1", At: 1000 + ms, Rest: document.Duration(time.Millisecond)})
+	}
+	trial.Endpoints["e9"] = fakeplatform.History{Refusals: refusals}
+}
+
 // order returns an order that was received at receivedAt, in milliseconds.
 func order(owner string, fencingNumber, receivedAt int64) fakeplatform.Order {
 	return fakeplatform.Order{Owner: owner, FencingNumber: fencingNumber, ReceivedAt: receivedAt}
