soak: a rest is no excuse for requests in it

The failure that makes an endpoint ask for rest counted as one that delays requests, so that the check of rests never failed.

--- a/soak/trial.go
+++ b/soak/trial.go
@@ -316,7 +316,9 @@
 		case PauseEndpoint:
 			endpoint = a.Endpoint
 		case FailEndpoint:
-			endpoint = a.Endpoint
+			if a.Failure != Rest { // which refuses requests at once
+				endpoint = a.Endpoint
+			}
 		case Disturb:
 			if a.Link == EndpointLink {
 				endpoint = a.Index
--- a/soak/trial_test.go
+++ b/soak/trial_test.go
@@ -61,7 +61,11 @@
 			sayLeaving(trial, 3200, 3300, 0)
 			trial.Steps = []soak.Step{{At: 0, For: 9 * time.Second, Act: soak.FailStore{Failure: soak.Down}}}
 		}, 1},
-		"requests in a rest":     {func(trial *soak.Trial) { askForRest(trial, 600, 700, 800) }, 1},
+		"requests in a rest": {func(trial *soak.Trial) { askForRest(trial, 600, 700, 800) }, 1},
+		"requests in a rest, during the failure that causes it": {func(trial *soak.Trial) {
+			askForRest(trial, 600, 700, 800)
+			trial.Steps = []soak.Step{{At: 900 * time.Millisecond, For: time.Second, Act: soak.FailEndpoint{Endpoint: 9, Failure: soak.Rest}}}
+		}, 1},
 		"few requests in a rest": {func(trial *soak.Trial) { askForRest(trial, 100, 600, 700, 2100) }, 0},
 		"requests in a rest, host restarted": {func(trial *soak.Trial) {
 			askForRest(trial, 600, 700, 800)
