--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -135,9 +135,21 @@
 			h.applyQuarantineRow(row)
 		}
 	}
+	h.forgetExchanges()
 	h.publishMembers()
 }
 
+// forgetExchanges drops what is known of exchanges with hosts that are no longer members. The caller holds the lock.
+func (h *Host) forgetExchanges() {
+	ids := map[string]bool{}
+	for _, m := range h.fleet.members {
+		ids[m.ID] = true
+	}
+	gone := func(id string, _ int64) bool { return !ids[id] }
+	maps.DeleteFunc(h.fleet.crashesSent, gone)
+	maps.DeleteFunc(h.fleet.crashesReceived, gone)
+}
+
 func (h *Host) applyMemberRow(name string, row table.Row) {
 	if row.Deleted {
 		delete(h.fleet.members, name)
