quarantine: several deadly parts with the same companion

Callers would have seen: two or more parts that crash engines, always beside the same sound part, made that part look worse than each of them, because it was on the crashes of all. Requests with it were refused for minutes, though none of them had a deadly part.

Only a single blocked part could account for the crashes of another. Now all parts that were on at least two crashes themselves do so together: if they may account for half of a part's crashes, one host after the other tries requests that have none of them.

Files are split by concern, and the type Change, which had the same fields as Entry, is gone.

--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -72,7 +72,7 @@
 }
 
 // PartJudged says that a prompt part is blocked from now on, or no longer. The host logs it.
-type PartJudged struct{ quarantine.Change }
+type PartJudged struct{ quarantine.Entry }
 
 func (SendAttempt) isEffect()   {}
 func (RefuseRequest) isEffect() {}
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -46,6 +46,12 @@
 	revision int64 // of the ledger, at the last change
 }
 
+// countsAgainst reports whether the crash counts against a part.
+func (c *crash) countsAgainst(part Part) bool {
+	s, found := c.suspects[part.ID]
+	return found && part.Pool == c.pool && !s.Cleared && !s.Familiar
+}
+
 // report returns the crash in the form that other hosts receive.
 func (c *crash) report(now time.Duration) Report {
 	r := Report{Process: c.process, Pool: c.pool, Age: now - c.at, Refuted: c.refuted}
