--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -293,7 +294,13 @@
 
 // continues reports whether a response continues the stream that the caller has received the beginning of.
 func (t *task) continues(response *connection.Response) bool {
-	return response.StatusCode == http.StatusOK && response.Header.Get("Content-Type") == t.writer.Header().Get("Content-Type")
+	return response.StatusCode == http.StatusOK && mediaType(response.Header) == mediaType(t.writer.Header())
+}
+
+// mediaType returns the content type of a header without its parameters.
+func mediaType(h http.Header) string {
+	media, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(media))
 }
 
 // finishStream ends a complete stream.
--- a/entry/streamend_test.go
+++ b/entry/streamend_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// TestResumedWithOtherParameters guards against a stream that breaks because the endpoint that resumes it writes the content type in
+// another way.
+func TestResumedWithOtherParameters(t *testing.T) {
+	const begun, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	respond := func(r *http.Request) string {
+		if fakeplatform.LastEventID(r) == "1" {
+			return fakeplatform.WholeResponse(r, 200, "Text/Event-Stream; charset=utf-8", rest)
+		}
+		return fakeplatform.StreamResponseHead(r) + chunk(begun)
+	}
+	host := newHost(t, newScriptedEndpoint(t, respond), newScriptedEndpoint(t, respond))
+	_, body, err := askRaw(t, host.Listener.Addr().String(), "/free/1", "HTTP/1.1")
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, body, qt.Equals, begun+rest)
+}
+
 // TestStreamEnds guards against a stream without length or chunks that is taken for complete although it was broken off, and the
 // reverse, for callers of both versions of HTTP.
 func TestStreamEnds(t *testing.T) {
