--- a/entry/notice_test.go
+++ b/entry/notice_test.go
@@ -141,7 +141,7 @@
 				return
 			}
 			if refusal == "" {
-				refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + request.Header.Get("X-Request-Id") + "\r\nContent-Length: 0\r\n\r\n"
+				refusal = fakeplatform.RestResponse(request, "0", true)
 				io.WriteString(conn, refusal)
 				continue
 			}
