entry: a request that ends without a response closes the connection

Callers got an empty success that no endpoint had given: 200, Content-Length 0.

Cause: net/http answers 200 by itself when a handler returns without a response. Two ways led there. After a suspension the deadline of a request has passed by the clock that runs on, while its timer, which does not, has not fired; abort took the request for one whose caller had left. And a caller that closes only its direction of the connection ended the request without a response. The first is answered as timed out now; the second, and a write to the caller that fails, close the connection.

TestNoAnswerByAccident failed in both cases before: 200 in place of 504, and 'HTTP/1.1 200 OK' in place of nothing.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -256,11 +256,11 @@
 			t.writeHead(response)
 			if _, writeErr := w.Write(complete); writeErr != nil {
 				h.Apply(dispatch.RequestAbandoned{Number: t.number})
-				return true
+				h.breakOff(t)
 			}
 			if writeErr := control.Flush(); writeErr != nil {
 				h.Apply(dispatch.RequestAbandoned{Number: t.number})
-				return true
+				h.breakOff(t)
 			}
 			t.lastEventID = events.lastID
 		}
--- a/entry/request.go
+++ b/entry/request.go
@@ -161,12 +161,13 @@
 	}
 }
 
-// abort ends a request whose caller has disconnected or whose deadline has passed.
+// abort ends a request whose caller has disconnected or whose deadline has passed. After a suspension of the machine the deadline may
+// have passed before the context has ended.
 func (h *Host) abort(ctx context.Context, t *task) {
-	if !errors.Is(context.Cause(ctx), errExpired) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errExpired) {
 		h.Apply(dispatch.RequestAbandoned{Number: t.number})
 		h.log.Info("entry: caller left", "request", t.request.ID, "after", (h.Now() - t.arrived).String(), "endpoint", t.lastSend.Endpoint.ID, "work", t.request.Describe())
-		return
+		h.breakOff(t) // a return without a response would send an empty success
 	}
 	h.Apply(dispatch.RequestTimedOut{Number: t.number})
 	for {
@@ -202,7 +203,7 @@
 	}
 }
 
-// breakOff closes the caller's connection in the middle of a response. A caller of HTTP/1.0 takes the end of the connection for the
+// breakOff closes the caller's connection without a response or in the middle of one. A caller of HTTP/1.0 takes the end of the connection for the
 // end of the response, so that its connection is reset.
 func (h *Host) breakOff(t *task) {
 	conn, isTCP := t.request.HTTPRequest.Context().Value(connKey{}).(*net.TCPConn)
--- a/entry/streamend_test.go
+++ b/entry/streamend_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"magnoliahoist/dispatch"
+	"magnoliahoist/platform"
 	"magnoliahoist/platform/fakeplatform"
 )
 
@@ -134,3 +138,39 @@
 		}
 	}
 }
+
+// TestNoAnswerByAccident guards against an empty success that the HTTP server sends by itself when a request ends without a response: its
+// deadline passed while the machine was suspended, so that no timer has fired yet, or its caller has closed one direction of the
+// connection.
+func TestNoAnswerByAccident(t *testing.T) {
+	t.Run("deadline passed while suspended", func(t *testing.T) {
+		h, _ := newHostAndServer(t)
+		request, err := fakeplatform.Request{ID: "r1", Host: "h", Path: "/once/1", Model: "m", Tokens: "100,10"}.HTTPRequest("127.0.0.1:1")
+		qt.Assert(t, err, qt.IsNil)
+		decoded, err := platform.DecodeRequest(request)
+		qt.Assert(t, err, qt.IsNil)
+		recorder := httptest.NewRecorder()
+		finished := h.attempt(context.Background(), &task{number: 1, request: decoded, writer: recorder}, dispatch.SendAttempt{Number: 1, Deadline: h.Now() - time.Second})
+		qt.Check(t, finished, qt.IsTrue)
+		qt.Check(t, recorder.Code, qt.Equals, http.StatusGatewayTimeout)
+	})
+	t.Run("caller closed one direction", func(t *testing.T) {
+		release := make(chan struct{})
+		defer close(release)
+		host := newHost(t, newScriptedEndpoint(t, func(*http.Request) string {
+			<-release
+			return ""
+		}))
+		conn, err := net.Dial("tcp", host.Listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		qt.Assert(t, conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+		request, err := fakeplatform.Request{ID: "r1", Host: "h", Path: "/once/1", Model: "m", Tokens: "100,10", CallerTimeout: 4 * time.Second}.HTTPRequest("h")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, request.Write(conn), qt.IsNil)
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		got, _ := io.ReadAll(conn)
+		qt.Check(t, string(got), qt.Equals, "")
+	})
+}
