--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -161,3 +161,42 @@
 	verdict(broken.Load() > 0, "%d requests, %d answered, %d lost; %d orders, %d of them unanswered; %d engines were ordered to load more than they have room for",
 		sent.Load(), ok.Load(), cut.Load(), orders.Load(), unanswered.Load(), broken.Load())
 }
+
+// unknownAdapters plays clients that name adapters that do not exist, beside ordinary ones.
+func unknownAdapters(trouble bool) {
+	startFleet(1, 18, 99, 5, nil)
+	h := hosts[0]
+	var sent, asked, answered atomic.Int64
+	run := func(pause time.Duration, adapter func() string, note func(status int)) {
+		c := &client{address: h.callers}
+		for {
+			q := request{method: "POST", path: llmPrefix + "2f", id: newID(), deadline: 5 * time.Second, body: "hello",
+				header: []string{"X-Model: " + modelName + "/" + adapter(), "X-Token-Count: 20,6", fmt.Sprintf("X-Prompt-Prefix: %x:20", rand.Uint32())}}
+			status, _, err := c.do(q)
+			note(status)
+			if err != nil {
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(pause)
+		}
+	}
+	if trouble {
+		for range 150 {
+			go run(10*time.Millisecond, func() string { return strings.Repeat("x", 14000) + newID() }, func(int) { sent.Add(1) })
+		}
+	}
+	for range 5 {
+		go run(200*time.Millisecond, func() string { return fmt.Sprintf("a%d", 1+rand.IntN(99)) }, func(status int) {
+			asked.Add(1)
+			if status == 200 {
+				answered.Add(1)
+			}
+		})
+	}
+	most := 0.0
+	for end := time.Now().Add(100 * time.Second); time.Now().Before(end) && most <= float64(h.memoryMB) && !h.ended(); time.Sleep(time.Second) {
+		most = max(most, h.residentMB())
+		record("%d requests for unknown adapters; ordinary requests: %d of %d answered; resident memory %.0f MB of %d", sent.Load(), answered.Load(), asked.Load(), h.residentMB(), h.memoryMB)
+	}
+	verdict(h.ended() || most > float64(h.memoryMB), "%d requests for unknown adapters; ordinary requests: %d of %d answered; resident memory at most %.0f MB of %d", sent.Load(), answered.Load(), asked.Load(), most, h.memoryMB)
+}
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -26,6 +26,7 @@
 	id, service, address string
 	zone                 string
 	slots, adapterSlots  int
+	adapterCount         int // of the model
 	adapterLoad          time.Duration
 	work                 time.Duration // of a request, or for an event
 	store                *store
@@ -200,7 +201,7 @@
 	switch {
 	case o.Adapter == "":
 		return http.StatusConflict // the cases move no models
-	case !resident:
+	case !resident || !e.exists(o.Adapter):
 		return http.StatusBadRequest
 	case o.Operation == "load" && (slices.Contains(adapters, o.Adapter) || e.pending[name] > 0):
 		return http.StatusOK
@@ -247,6 +248,13 @@
 	return http.StatusAccepted
 }
 
+// exists reports whether the configuration has an adapter: they are named a1, a2, and so on.
+func (e *engine) exists(adapter string) bool {
+	text, found := strings.CutPrefix(adapter, "a")
+	n, err := strconv.Atoi(text)
+	return found && err == nil && n >= 1 && n <= e.adapterCount
+}
+
 // held returns the adapters that take a slot. The caller holds the lock.
 func (e *engine) held() int {
 	count := len(e.pending)
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -54,7 +54,7 @@
 	zones := []string{"thu-duc", "binh-thanh", "tan-binh", "go-vap"}
 	var list []*engine
 	for i := range engines {
-		e := &engine{id: fmt.Sprintf("i-llm%05d", i), service: llmService, zone: zones[i%4], slots: 64, adapterSlots: adapterSlots,
+		e := &engine{id: fmt.Sprintf("i-llm%05d", i), service: llmService, zone: zones[i%4], slots: 64, adapterSlots: adapterSlots, adapterCount: adapters,
 			adapterLoad: 19 * time.Millisecond, work: 5 * time.Millisecond, store: s, models: map[string][]string{modelName: {}},
 			stall: func() time.Duration { return 0 }, answered: func(bool) {}}
 		if prepare != nil {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -84,6 +84,8 @@
 	switch os.Args[1] {
 	case "empty-parts":
 		emptyParts(trouble)
+	case "unknown-adapters":
+		unknownAdapters(trouble)
 	case "crowd":
 		crowd(trouble)
 	case "late-orders":
