review: case 6, half of an answer that was reset reaches the client as complete

Cause: the reset is reported to the goroutine that writes the request's long body, and the reader of the response without a length sees a plain end.

--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -105,32 +105,38 @@
 
 // do sends a request and returns the status and the body of the response; 0 without a complete response.
 func (c *client) do(q request) (int, string, error) {
+	status, _, body, err := c.exchange(q)
+	return status, body, err
+}
+
+// exchange is do with the header of the response.
+func (c *client) exchange(q request) (int, http.Header, string, error) {
 	if c.conn == nil {
 		conn, err := dialer.Dial("tcp", c.address)
 		if err != nil {
-			return 0, "", err
+			return 0, nil, "", err
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	c.conn.SetDeadline(time.Now().Add(q.deadline))
 	if _, err := io.WriteString(c.conn, q.text()); err != nil {
 		c.close()
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: q.method})
 	if err != nil {
 		c.close()
-		return 0, "", err
+		return 0, nil, "", err
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		c.close()
-		return 0, string(body), err
+		return 0, nil, string(body), err
 	}
 	if response.Close {
 		c.close()
 	}
-	return response.StatusCode, string(body), nil
+	return response.StatusCode, response.Header, string(body), nil
 }
 
 func (c *client) close() {
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -82,6 +82,8 @@
 	work, _ = filepath.Abs(work)
 	trouble := os.Getenv("TROUBLE") != "0"
 	switch os.Args[1] {
+	case "early-reset":
+		earlyReset(trouble)
 	case "empty-parts":
 		emptyParts(trouble)
 	case "unknown-adapters":
