connection: a response that ends with the connection is incomplete if its request was not written

Callers saw: a part of the responses that were reset on the way arrived as a 200 with the endpoint's signature and the length of the half body; streams ended as complete before their last event.

Cause: a body above 8 KB is written while the response is read. The kernel reports a reset to one call only. If that is the write, the read sees the end of the connection, which is also the end of a body without length and chunks. The error of the write was only used to decide about keeping the connection.

Change: Response.Read waits for the write at the end of such a body and returns its error. EndsWithConnection no longer includes responses that have no body, such as those to HEAD.

--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -95,10 +95,11 @@
 	*http.Response
 	SentAt        time.Time // when the request was written; for a body above maxSyncBodyBytes, when writing began
 	conn          *conn
-	detachContext func() bool // stops watching the context; false if the context has already ended
-	writeResult   chan error  // receives the error of the write; nil if the request was written before the response was read
-	bodyRead      bool        // the body was read to its end
-	noReuse       bool        // the connection must not be used again
+	detachContext func() bool   // stops watching the context; false if the context has already ended
+	written       chan struct{} // closed when the request is no longer being written; nil if it was written before the response was read
+	writeErr      error         // error of the write, once written is closed
+	bodyRead      bool          // the body was read to its end
+	noReuse       bool          // the connection must not be used again
 	closed        bool
 }
 
@@ -135,11 +136,11 @@
 		length += len(piece)
 	}
 	if length > maxSyncBodyBytes {
-		r.writeResult = make(chan error, 1)
+		r.written = make(chan struct{})
 		go func() {
+			defer close(r.written)
 			buffers := append(net.Buffers{request.Head}, request.Body...)
-			_, err := buffers.WriteTo(r.conn.Conn)
-			r.writeResult <- err
+			_, r.writeErr = buffers.WriteTo(r.conn.Conn)
 		}()
 		return nil
 	}
@@ -179,18 +180,25 @@
 	return errors.New("too many responses to other requests")
 }
 
-// Read reads the body of the response.
+// Read reads the body of the response. A body that ends with the connection is complete only if the whole request was written: the
+// kernel reports a reset once, and if the write gets the error, the read sees the end of the connection.
 func (r *Response) Read(buffer []byte) (int, error) {
 	n, err := r.Response.Body.Read(buffer)
-	if err == io.EOF {
-		r.bodyRead = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	if r.EndsWithConnection() && r.written != nil {
+		if <-r.written; r.writeErr != nil {
+			return n, errors.Annotate(r.writeErr, "connection: response ended before the request was written")
+		}
+	}
+	r.bodyRead = true
+	return n, io.EOF
 }
 
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that its body ends with the connection.
 func (r *Response) EndsWithConnection() bool {
-	return r.Response.ContentLength < 0 && len(r.Response.TransferEncoding) == 0
+	return r.Response.Body != http.NoBody && r.Response.ContentLength < 0 && len(r.Response.TransferEncoding) == 0
 }
 
 // DiscardOnClose makes Close close the connection instead of keeping it for later exchanges.
@@ -203,7 +211,7 @@
 		return
 	}
 	r.closed = true
-	if !r.RequestWritten() || !r.bodyRead || r.noReuse || r.Response.Close || r.conn.reader.Buffered() > 0 {
+	if !r.RequestWritten() || r.writeErr != nil || !r.bodyRead || r.noReuse || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		r.closeConn()
 		return
 	}
@@ -216,13 +224,11 @@
 
 // RequestWritten reports whether the request is no longer being written, so that its body is not needed for this exchange.
 func (r *Response) RequestWritten() bool {
-	if r.writeResult == nil {
+	if r.written == nil {
 		return true
 	}
 	select {
-	case err := <-r.writeResult:
-		r.writeResult = nil
-		r.noReuse = r.noReuse || err != nil
+	case <-r.written:
 		return true
 	default:
 		return false
--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -80,6 +80,7 @@
 		Version: 1,
 		Routes: []catalog.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Open: true, Stream: true, Repeat: catalog.AtMostOnce, MaxAttempts: 2, ResponseTarget: time.Second, Timeout: 5 * time.Second, Pools: shares},
+			{Name: "whole", Host: "h", Prefix: "/whole/", Open: true, Repeat: catalog.AtMostOnce, MaxAttempts: 2, ResponseTarget: time.Second, Timeout: 5 * time.Second, Pools: shares},
 			{Name: "free", Host: "h", Prefix: "/free/", Open: true, Stream: true, Resumable: true, Repeat: catalog.AtMostOnce, MaxAttempts: 2, ResponseTarget: time.Second, Timeout: 5 * time.Second, Pools: shares},
 		},
 		Pools: []catalog.Pool{{Name: "p", Engine: &catalog.Engine{Slots: 8, Models: map[string]catalog.Model{"m": {Name: "m"}}}}},
