residency: adapters in transit take a slot in reports, too

Callers saw: streams that had begun were cut off, because their engine crashed when it was ordered to load more adapters than it has slots.

Cause: engines leave an order unanswered and carry it out late. While its adapter is being loaded, a report lists it under "pending" only. ApplyReport took over the sequence number of such a report and skipped its models, so that the planner had one adapter too few for this number, and its next order passed the engine's check of the number.

Change: the names under "pending" are decoded and count as held; a report is applied whole or not at all.

--- a/entry/holder.go
+++ b/entry/holder.go
@@ -240,7 +240,7 @@
 		h.log.Info("entry: unable to get the report of an endpoint", "pool", pool, "endpoint", e.ID, "error", err)
 		return
 	}
-	h.log.Debug("entry: endpoint report", "pool", pool, "endpoint", e.ID, "sequence", report.Sequence, "active", report.Active, "pending", report.PendingAdapters,
+	h.log.Debug("entry: endpoint report", "pool", pool, "endpoint", e.ID, "sequence", report.Sequence, "active", report.Active, "pending", fmt.Sprint(report.PendingAdapters),
 		"born", report.StartedAt, "registered", e.StartedAt, "models", fmt.Sprint(report.Models), "from", fmt.Sprint(e.Models))
 	h.mu.Lock()
 	held.planner.ApplyReport(h.Now(), e.ID, report)
--- a/residency/engine_test.go
+++ b/residency/engine_test.go
@@ -15,6 +15,7 @@
 	engineMegabytes = 216.0
 	modelMegabytes  = 70.0
 	reportLag       = 400 * time.Millisecond
+	adapterTransit  = 300 * time.Millisecond // from the order to load an adapter until the engine holds it
 )
 
 // testPool returns a pool with the models m1 to m6.
@@ -30,10 +31,17 @@
 type snapshot struct {
 	at       time.Duration
 	models   map[string][]string // adapters by model
+	pending  []transit
 	sequence int64
 	active   bool
 }
 
+// transit is an adapter that an engine is loading.
+type transit struct {
+	model, adapter string
+	end            time.Duration
+}
+
 // delayedOrder is an order that reaches the engine after the sender's timeout.
 type delayedOrder struct {
 	at    time.Duration
@@ -50,6 +58,7 @@
 	loading       string
 	unloading     string
 	changeEnd     time.Duration // when the load or unload under way completes
+	pending       []transit
 	delayed       []delayedOrder
 	history       []snapshot
 	overcommitted bool // was ordered to load more than its memory holds
@@ -74,6 +83,12 @@
 		delete(s.models, s.unloading)
 		s.loading, s.unloading = "", ""
 	}
+	for len(s.pending) > 0 && s.pending[0].end <= now {
+		if adapters, held := s.models[s.pending[0].model]; held {
+			s.models[s.pending[0].model] = append(slices.Clone(adapters), s.pending[0].adapter)
+		}
+		s.pending = s.pending[1:]
+	}
 	for len(s.delayed) > 0 && s.delayed[0].at <= now {
 		s.execute(s.delayed[0].at, s.delayed[0].order)
 		s.delayed = s.delayed[1:]
@@ -82,11 +97,12 @@
 	for m, adapters := range s.models {
 		models[m] = slices.Clone(adapters)
 	}
-	s.history = append(s.history, snapshot{now, models, s.sequence, s.loading != "" || s.unloading != ""})
+	s.history = append(s.history, snapshot{now, models, slices.Clone(s.pending), s.sequence, s.loading != "" || s.unloading != ""})
 }
 
+// adapters returns the number of adapters that the engine holds or loads.
 func (s *simEngine) adapters() int {
-	count := 0
+	count := len(s.pending)
 	for _, list := range s.models {
 		count += len(list)
 	}
@@ -110,13 +126,14 @@
 		if !held {
 			return residency.Denied
 		}
-		if slices.Contains(adapters, o.Adapter) {
+		if slices.Contains(adapters, o.Adapter) || s.loadsAdapter(o) {
 			return residency.AlreadyDone
 		}
-		s.models[o.Model] = append(adapters, o.Adapter)
+		s.pending = append(s.pending, transit{o.Model, o.Adapter, now + adapterTransit})
 		s.overcommitted = s.overcommitted || s.adapters() > adapterSlots
 	case residency.UnloadAdapter:
-		s.models[o.Model] = slices.DeleteFunc(adapters, func(a string) bool { return a == o.Adapter })
+		s.models[o.Model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == o.Adapter })
+		s.pending = slices.DeleteFunc(s.pending, func(p transit) bool { return p.model == o.Model && p.adapter == o.Adapter })
 		s.sequence++
 		return residency.AlreadyDone
 	case residency.LoadModel:
@@ -136,15 +153,20 @@
 	return residency.Accepted
 }
 
+// loadsAdapter reports whether the adapter of an order is in transit.
+func (s *simEngine) loadsAdapter(o residency.Order) bool {
+	return slices.ContainsFunc(s.pending, func(p transit) bool { return p.model == o.Model && p.adapter == o.Adapter })
+}
+
 // restart replaces the engine by a new process that holds nothing.
 func (s *simEngine) restart() {
 	s.born++
-	s.models, s.sequence, s.loading, s.unloading, s.history, s.delayed = map[string][]string{}, 0, "", "", nil, nil
+	s.models, s.sequence, s.loading, s.unloading, s.pending, s.history, s.delayed = map[string][]string{}, 0, "", "", nil, nil, nil
 }
 
 // report returns the engine's report, whose contents are reportLag old.
 func (s *simEngine) report(now time.Duration) residency.Report {
-	visible := snapshot{models: s.models, sequence: s.sequence, active: s.loading != "" || s.unloading != ""}
+	visible := snapshot{models: s.models, pending: s.pending, sequence: s.sequence, active: s.loading != "" || s.unloading != ""}
 	for _, past := range s.history {
 		if past.at <= now-reportLag {
 			visible = past
@@ -154,6 +176,9 @@
 	for m, adapters := range visible.models {
 		r.Models = append(r.Models, residency.Model{Name: m, Adapters: adapters})
 	}
+	for _, p := range visible.pending {
+		r.PendingAdapters = append(r.PendingAdapters, residency.Adapter{Model: p.model, Name: p.adapter})
+	}
 	return r
 }
 
--- /dev/null
+++ b/residency/lateorder_test.go
@@ -0,0 +1,51 @@
+package residency_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/directory"
+	"magnoliahoist/residency"
+)
+
+// newPlanner returns a planner with one engine that holds the models, and the registration of the engine. The planner has no report yet.
+func newPlanner(models ...residency.Model) (*residency.Planner, directory.Endpoint) {
+	p := residency.New(0, -time.Minute)
+	p.SetPool(testPool())
+	registration := directory.Endpoint{ID: "e1", Pool: "p", Address: "10.0.0.1:80", Slots: 64, StartedAt: 1}
+	for _, m := range models {
+		registration.Models = append(registration.Models, directory.Model{Name: m.Name, Adapters: m.Adapters})
+	}
+	p.SetEndpoints(0, []directory.Endpoint{registration})
+	return p, registration
+}
+
+// kindsOf returns the kinds of orders.
+func kindsOf(orders []residency.Order) []residency.Kind {
+	var kinds []residency.Kind
+	for _, o := range orders {
+		kinds = append(kinds, o.Kind)
+	}
+	return kinds
+}
+
+// TestAdapterInTransit guards against an order for more adapters than an engine has slots: an order without a response was carried out
+// late, and the engine is still loading its adapter at the time that a report shows.
+func TestAdapterInTransit(t *testing.T) {
+	p, _ := newPlanner(residency.Model{Name: "m1", Adapters: []string{"a1", "a2", "a3"}})
+	held := []residency.Model{{Name: "m1", Adapters: []string{"a1", "a2", "a3"}}}
+	now := time.Second
+	p.ApplyReport(now, "e1", residency.Report{Models: held, StartedAt: 1, RequestedAt: now})
+	p.RequestAdapter(now, residency.AdapterRequest{ID: 1, Endpoint: "e1", Model: "m1", Adapter: "a4"})
+	for _, result := range []residency.Result{residency.Unanswered, residency.Conflict} { // the engine carries out the first order, late
+		orders := p.DueOrders(now)
+		qt.Assert(t, kindsOf(orders), qt.DeepEquals, []residency.Kind{residency.LoadAdapter})
+		p.ApplyResult(now, orders[0], result)
+		now += time.Second
+	}
+	p.ApplyReport(now, "e1", residency.Report{Models: held, Sequence: 1, PendingAdapters: []residency.Adapter{{Model: "m1", Name: "a4"}}, StartedAt: 1, RequestedAt: now})
+	p.RequestAdapter(now, residency.AdapterRequest{ID: 2, Endpoint: "e1", Model: "m1", Adapter: "a5"})
+	qt.Check(t, kindsOf(p.DueOrders(now)), qt.DeepEquals, []residency.Kind{residency.UnloadAdapter})
+}
--- a/residency/order.go
+++ b/residency/order.go
@@ -2,7 +2,10 @@
 // order only if it names the number of orders that they have accepted so far. The package performs no I/O.
 package residency
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind is the operation that an order asks for.
 type Kind int
@@ -49,13 +52,30 @@
 // Report is the state that an engine reports on request.
 type Report struct {
 	Models          []Model
-	Sequence        int64 // number of orders that the engine has accepted
-	Active          bool  // the engine is carrying out an order
-	PendingAdapters int   // adapters that are being loaded
-	StartedAt       int64 // of the engine process, Unix milliseconds; 0 if not stated
+	Sequence        int64     // number of orders that the engine has accepted
+	Active          bool      // the engine is loading or unloading a model
+	PendingAdapters []Adapter // being loaded; they take a slot already
+	StartedAt       int64     // of the engine process, Unix milliseconds; 0 if not stated
 	RequestedAt     time.Duration
 }
 
+// Adapter is an adapter of a model.
+type Adapter struct{ Model, Name string }
+
+// modelsWithPending returns the models with the adapters that the engine holds or loads. It returns false if an adapter of a model that
+// is not listed is being loaded: the report does not show then what the slots are used for.
+func (r Report) modelsWithPending() ([]Model, bool) {
+	models := slices.Clone(r.Models)
+	for _, pending := range r.PendingAdapters {
+		i := slices.IndexFunc(models, func(m Model) bool { return m.Name == pending.Model })
+		if i < 0 {
+			return nil, false
+		}
+		models[i].Adapters = append(slices.Clone(models[i].Adapters), pending.Name)
+	}
+	return models, true
+}
+
 // Model is a model that an engine holds, with the names of its adapters.
 type Model struct {
 	Name     string
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -269,20 +269,20 @@
 }
 
 // ApplyReport applies an engine's report. Because reports lag, one that was requested less than reportLag after the last change
-// is ignored.
+// is ignored. The sequence is taken over only together with all that the orders up to it have loaded: an order that expects this
+// sequence is accepted on the strength of what the planner knows.
 func (p *Planner) ApplyReport(now time.Duration, endpoint string, r Report) {
 	e := p.engines[endpoint]
 	if e == nil || e.inFlight != nil || r.StartedAt != 0 && r.StartedAt != e.StartedAt || r.RequestedAt-e.lastChange < reportLag {
 		return
 	}
-	if r.Sequence < e.sequence {
+	models, complete := r.modelsWithPending()
+	if r.Sequence < e.sequence || !complete {
 		return
 	}
 	e.sequence = r.Sequence
 	e.synced = !r.Active || e.loading != "" || e.unloading != ""
-	if r.PendingAdapters == 0 {
-		e.setModels(now, r.Models)
-	}
+	e.setModels(now, models)
 	if !r.Active {
 		e.loading, e.unloading = "", ""
 	}
