residency: an adapter that is being unloaded takes its slot until a report shows that it is gone

Cause: an engine unloads an adapter in use only when its requests have ended, and says so with 202. The planner took the slot for free at once and sent the order to load the next adapter, with the sequence number that the engine expected. Whether that order overloads the engine was left to the engine.

Change: such an adapter counts until a report no longer lists it. Meanwhile reports are requested as during the unload of a model, and no further adapter is evicted from the engine.

--- a/residency/engine.go
+++ b/residency/engine.go
@@ -30,22 +30,32 @@
 
 // residentModel is a model that an engine holds, with its adapters.
 type residentModel struct {
-	lastUse map[string]time.Duration // by adapter
+	lastUse   map[string]time.Duration // by adapter
+	unloading map[string]bool          // adapters that take a slot until the requests that use them have ended; nil if none
 }
 
+// slots returns the number of slots that the model's adapters take.
+func (m *residentModel) slots() int { return len(m.lastUse) + len(m.unloading) }
+
 func newEngine(e directory.Endpoint) *engine {
 	return &engine{Endpoint: e, lastChange: -registrationLag, models: map[string]*residentModel{}}
 }
 
-// setModels replaces the models and adapters that the engine holds. Adapters that it already held keep their last use.
+// setModels replaces the models and adapters that the engine holds. Adapters that it already held keep their last use, and those that
+// are being unloaded stay so.
 func (e *engine) setModels(now time.Duration, models []Model) {
 	previous := e.models
 	e.models = make(map[string]*residentModel, len(models))
 	for _, m := range models {
 		loaded := &residentModel{lastUse: make(map[string]time.Duration, len(m.Adapters))}
+		before := previous[m.Name]
 		for _, a := range m.Adapters {
+			if before != nil && before.unloading[a] {
+				loaded.beginUnload(a)
+				continue
+			}
 			loaded.lastUse[a] = now - unknownUseAge
-			if before := previous[m.Name]; before != nil {
+			if before != nil {
 				if used, ok := before.lastUse[a]; ok {
 					loaded.lastUse[a] = used
 				}
@@ -80,15 +90,41 @@
 	return true
 }
 
-// adapterCount returns the number of adapters that the engine holds.
+// beginUnload records that an adapter is unloaded once the requests that use it have ended.
+func (m *residentModel) beginUnload(adapter string) {
+	delete(m.lastUse, adapter)
+	if m.unloading == nil {
+		m.unloading = map[string]bool{}
+	}
+	m.unloading[adapter] = true
+}
+
+// adapterCount returns the number of adapters that take a slot of the engine.
 func (e *engine) adapterCount() int {
 	count := 0
 	for _, loaded := range e.models {
-		count += len(loaded.lastUse)
+		count += loaded.slots()
 	}
 	return count
 }
 
+// unloadingAdapters reports whether the engine waits for requests to end before it unloads an adapter.
+func (e *engine) unloadingAdapters() bool {
+	for _, loaded := range e.models {
+		if len(loaded.unloading) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetUnloads takes the adapters that are being unloaded for held ones.
+func (e *engine) forgetUnloads() {
+	for _, loaded := range e.models {
+		loaded.unloading = nil
+	}
+}
+
 // changingModel reports whether the engine is expected to be loading or unloading a model. Meanwhile it refuses all other
 // orders, also those for adapters.
 func (e *engine) changingModel(now time.Duration) bool {
--- a/residency/lateorder_test.go
+++ b/residency/lateorder_test.go
@@ -49,3 +49,28 @@
 	p.RequestAdapter(now, residency.AdapterRequest{ID: 2, Endpoint: "e1", Model: "m1", Adapter: "a5"})
 	qt.Check(t, kindsOf(p.DueOrders(now)), qt.DeepEquals, []residency.Kind{residency.UnloadAdapter})
 }
+
+// TestUnloadInUse guards against an order for more adapters than an engine has slots: an adapter in use is unloaded only when its
+// requests have ended, and takes its slot until then.
+func TestUnloadInUse(t *testing.T) {
+	full := []residency.Model{{Name: "m1", Adapters: []string{"a1", "a2", "a3", "a4"}}, {Name: "m2"}, {Name: "m3"}}
+	p, registration := newPlanner(full...)
+	now := time.Second
+	p.ApplyReport(now, "e1", residency.Report{Models: full, StartedAt: 1, RequestedAt: now})
+	p.RequestAdapter(now, residency.AdapterRequest{ID: 1, Endpoint: "e1", Model: "m1", Adapter: "a5"})
+	orders := p.DueOrders(now)
+	qt.Assert(t, kindsOf(orders), qt.DeepEquals, []residency.Kind{residency.UnloadAdapter})
+	p.ApplyResult(now, orders[0], residency.Accepted)
+	qt.Check(t, p.DueOrders(now), qt.HasLen, 0)
+
+	now += time.Second
+	qt.Assert(t, p.DueReports(now), qt.HasLen, 1)
+	p.ApplyReport(now, "e1", residency.Report{Models: full, Sequence: 1, StartedAt: 1, RequestedAt: now})
+	qt.Check(t, p.DueOrders(now), qt.HasLen, 0, qt.Commentf("the report still shows the adapter"))
+
+	now += time.Second
+	qt.Assert(t, p.DueReports(now), qt.HasLen, 1)
+	p.SetEndpoints(now, []directory.Endpoint{registration})
+	p.ApplyReport(now, "e1", residency.Report{Models: []residency.Model{{Name: "m1", Adapters: []string{"a2", "a3", "a4"}}, {Name: "m2"}, {Name: "m3"}}, Sequence: 1, StartedAt: 1, RequestedAt: now})
+	qt.Check(t, kindsOf(p.DueOrders(now)), qt.DeepEquals, []residency.Kind{residency.LoadAdapter})
+}
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -252,7 +252,7 @@
 			room--
 			continue
 		}
-		changeUnderWay := (e.loading != "" || e.unloading != "") && now-e.lastChange > reportLag
+		changeUnderWay := (e.loading != "" || e.unloading != "" || e.unloadingAdapters()) && now-e.lastChange > reportLag
 		if e.inFlight != nil || !e.TakesRequests() || e.synced && !changeUnderWay || now-e.lastChange < reportLag {
 			continue
 		}
@@ -280,6 +280,9 @@
 	if r.Sequence < e.sequence || !complete {
 		return
 	}
+	if r.Sequence != e.sequence {
+		e.forgetUnloads() // an order that the planner knows nothing of may have loaded them again
+	}
 	e.sequence = r.Sequence
 	e.synced = !r.Active || e.loading != "" || e.unloading != ""
 	e.setModels(now, models)
@@ -321,10 +324,13 @@
 		e.sequence++
 		p.apply(now, e, o)
 	case AlreadyDone:
+		p.apply(now, e, o)
 		if o.Kind == UnloadAdapter {
 			e.sequence++ // the engine unloaded at once an adapter that no request uses, and counts the order
+			if loaded := e.models[o.Model]; loaded != nil {
+				delete(loaded.unloading, o.Adapter)
+			}
 		}
-		p.apply(now, e, o)
 	case Conflict, Denied:
 		e.synced = false
 		e.retryAt = now + orderRetryDelay
@@ -358,7 +364,7 @@
 		p.settleRequests(e, o, true)
 	case UnloadAdapter:
 		if loaded := e.models[o.Model]; loaded != nil {
-			delete(loaded.lastUse, o.Adapter)
+			loaded.beginUnload(o.Adapter)
 		}
 	}
 }
@@ -411,6 +417,9 @@
 		return Order{}, false
 	}
 	if e.adapterCount() >= p.pool.Engine.AdapterSlots {
+		if e.unloadingAdapters() {
+			return Order{}, false
+		}
 		return p.evictAdapter(e)
 	}
 	return e.startOrder(Order{Kind: LoadAdapter, Model: request.Model, Adapter: request.Adapter, Reason: "adapter request"}), true
--- a/residency/replica.go
+++ b/residency/replica.go
@@ -118,7 +118,7 @@
 	free := p.pool.Engine.WeightsMB - p.adapterReserve(e)
 	for name, loaded := range e.models {
 		model := p.pool.Engine.Models[name]
-		free -= model.WeightsMB + float64(len(loaded.lastUse))*model.AdapterMB
+		free -= model.WeightsMB + float64(loaded.slots())*model.AdapterMB
 	}
 	return free
 }
