residency: reports with a lower sequence than the planner expects are applied

Cause: an unload that is answered with 200 counts as accepted. An engine that did not hold the adapter answers the same and does not count it. Its reports then showed a lower sequence than the planner's and were ignored, each order was refused, and the engine got none for as long as it lived. If an earlier order without a response was carried out later, the sequences matched again, but the planner did not know what that order had loaded.

Change: a report is applied whatever its sequence is. One that is outdated only leads to orders that the engine refuses. After an unload that may not have been counted, while a given-up order expects the same sequence, a report is requested before the next order.

--- a/residency/planner.go
+++ b/residency/planner.go
@@ -270,14 +270,15 @@
 
 // ApplyReport applies an engine's report. Because reports lag, one that was requested less than reportLag after the last change
 // is ignored. The sequence is taken over only together with all that the orders up to it have loaded: an order that expects this
-// sequence is accepted on the strength of what the planner knows.
+// sequence is accepted on the strength of what the planner knows. It may be lower than the planner's, which counts orders that the
+// engine has not counted; if the report is outdated instead, the engine refuses the next order.
 func (p *Planner) ApplyReport(now time.Duration, endpoint string, r Report) {
 	e := p.engines[endpoint]
 	if e == nil || e.inFlight != nil || r.StartedAt != 0 && r.StartedAt != e.StartedAt || r.RequestedAt-e.lastChange < reportLag {
 		return
 	}
 	models, complete := r.modelsWithPending()
-	if r.Sequence < e.sequence || !complete {
+	if !complete {
 		return
 	}
 	if r.Sequence != e.sequence {
@@ -318,7 +319,10 @@
 	if e == nil || e.inFlight == nil || *e.inFlight != o {
 		return
 	}
-	e.inFlight = nil
+	if e.unanswered && (result == Conflict || result == Denied) {
+		e.givenUp = &o
+	}
+	e.inFlight, e.unanswered = nil, result == Unanswered
 	switch result {
 	case Accepted:
 		e.sequence++
@@ -327,6 +331,9 @@
 		p.apply(now, e, o)
 		if o.Kind == UnloadAdapter {
 			e.sequence++ // the engine unloaded at once an adapter that no request uses, and counts the order
+			if e.givenUp != nil && e.givenUp.ExpectedSequence == o.ExpectedSequence {
+				e.synced = false // if the engine did not hold the adapter, it has not counted the order
+			}
 			if loaded := e.models[o.Model]; loaded != nil {
 				delete(loaded.unloading, o.Adapter)
 			}
