connection, caller: a response with a status that HTTP does not define is malformed

Cause: every status below 200 counted as informational, so that the head of a response with the status 000, 099 or 101 was skipped and its body read as the next response. A whole response within that body reached the caller as a success. A status from 600 on was passed on as it was. Package caller forwarded all of them.

Change: only 200 to 599 end a response, only 100 to 199 without 101 are skipped; everything else ends the attempt without a usable response.

Evidence: TestInvalidStatus failed in all 7 cases of connection, all 15 of entry and all 5 of caller before, in 3 of 3 runs of entry; all pass, also with the race detector.

--- a/caller/sender.go
+++ b/caller/sender.go
@@ -8,6 +8,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"github.com/juju/errors"
+
+	"magnoliahoist/connection"
 )
 
 // Settings of connections to endpoints.
@@ -76,6 +80,10 @@
 		transport = s.unpooled
 	}
 	response, err := transport.RoundTrip(request)
+	if err == nil && !connection.IsFinalStatus(response.StatusCode) {
+		response.Body.Close()
+		return nil, maybeSent, errors.Errorf("caller: response has the invalid status %q", response.Status)
+	}
 	return response, maybeSent, err
 }
 
--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -64,14 +64,29 @@
 	return n, err
 }
 
+// IsFinalStatus reports whether a status is that of a final response. HTTP defines no status below 100 or above 599; a response with
+// such a status, which net/http accepts, is malformed.
+func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
+// isSkippedStatus reports whether a status is that of an informational response, after which another one follows. After 101, which no
+// request asks for, the connection would no longer carry HTTP.
+func isSkippedStatus(status int) bool {
+	return status >= 100 && status <= 199 && status != http.StatusSwitchingProtocols
+}
+
 // readHead reads the head of the next final response and skips informational ones.
 func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
 	r.limiter.readingHead, r.limiter.remaining = true, maxHeadBytes
 	defer func() { r.limiter.readingHead = false }()
 	for {
 		response, err := http.ReadResponse(r.Reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		switch {
+		case err != nil:
+			return nil, err
+		case IsFinalStatus(response.StatusCode):
+			return response, nil
+		case !isSkippedStatus(response.StatusCode):
+			return nil, errors.Errorf("response has the invalid status %q", response.Status)
 		}
 	}
 }
