connection: the head of a response has at most 256 lines

Cause: heads were bounded by 64 KB only. A decoded line takes some 150 bytes however short it is, so that a head of 5-byte lines that stops just short of the limit holds 20 times its size for as long as the request waits. 70 such connections brought a host with a limit of 64 MB to 87 MB.

Change: the lines of a head, and of the informational ones before it, are bounded, too. Endpoints send some 20.

--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -24,6 +25,8 @@
 	// maxHeadBytes bounds the head of a response, together with the informational (1xx) responses before it. Endpoints send
 	// heads below 1 KB; a faulty one may send bytes without end.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of the same. A decoded line takes some 150 bytes, however short it is.
+	maxHeadLines = 256
 	// maxStrayResponses is how many responses to other requests are skipped before the exchange fails.
 	maxStrayResponses = 2
 	// maxStrayBytes bounds the body of a skipped response.
@@ -41,26 +44,29 @@
 	return &responseReader{bufio.NewReaderSize(limiter, readerSize), limiter}
 }
 
-// headLimiter reads from a source. While a head is being read, it returns no more than the remaining number of bytes.
+// headLimiter reads from a source. While a head is being read, it returns no more than the remaining number of bytes, and nothing after
+// the remaining number of lines.
 type headLimiter struct {
-	source      io.Reader
-	readingHead bool
-	remaining   int
+	source         io.Reader
+	readingHead    bool
+	remaining      int // bytes
+	remainingLines int
 }
 
-// errHeadTooLong means that the head of a response exceeds maxHeadBytes.
-const errHeadTooLong = errors.ConstError("head of the response exceeds 64 KB")
+// errHeadTooLong means that the head of a response exceeds maxHeadBytes or maxHeadLines.
+const errHeadTooLong = errors.ConstError("head of the response exceeds 64 KB or 256 lines")
 
-// Read reads from the source. The error is errHeadTooLong when the limit of the current head is used up.
+// Read reads from the source. The error is errHeadTooLong when a limit of the current head is used up.
 func (l *headLimiter) Read(buffer []byte) (int, error) {
 	if !l.readingHead {
 		return l.source.Read(buffer)
 	}
-	if l.remaining <= 0 {
+	if l.remaining <= 0 || l.remainingLines <= 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := l.source.Read(buffer[:min(len(buffer), l.remaining)])
 	l.remaining -= n
+	l.remainingLines -= bytes.Count(buffer[:n], []byte("\n")) // may include lines of the body, but then nothing more is read for the head
 	return n, err
 }
 
@@ -76,7 +82,7 @@
 
 // readHead reads the head of the next final response and skips informational ones.
 func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
-	r.limiter.readingHead, r.limiter.remaining = true, maxHeadBytes
+	r.limiter.readingHead, r.limiter.remaining, r.limiter.remainingLines = true, maxHeadBytes, maxHeadLines
 	defer func() { r.limiter.readingHead = false }()
 	for {
 		response, err := http.ReadResponse(r.Reader, request)
