connection: a response to another request that is too long to be skipped ends the exchange

Cause: up to 1 MB of the body of a response to another request was skipped. Of a longer one, the bytes after that were read as the next response, so that a response within that body reached the caller as a success.

Change: a body above 1 MB ends the exchange.

--- a/connection/connection_test.go
+++ b/connection/connection_test.go
@@ -103,6 +103,15 @@
 				}
 			}, []string{"for 1", "for 2"}, 2,
 		},
+		"response within a long stray one": {
+			func(_ int, c net.Conn, r *bufio.Reader) {
+				id, _ := readRequest(r)
+				const skipped = 1 << 20
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: %d\r\n\r\n%s", 2*skipped, strings.Repeat("x", skipped))
+				writeResponse(c, id, "part of the stray one")
+				io.Copy(io.Discard, r)
+			}, []string{"!unable to read the response", "!unable to read the response"}, 2,
+		},
 		"second response after the right one": {
 			func(_ int, c net.Conn, r *bufio.Reader) {
 				for id, err := readRequest(r); err == nil; id, err = readRequest(r) {
--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -194,7 +194,8 @@
 		}
 		r.noReuse = true
 		strays++
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil || response.Close {
+		// The next response begins where the body ends, which is not known of a longer one.
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes+1)); err != nil || n > maxStrayBytes || response.Close {
 			return errors.New("response belongs to another request, and no further one follows it")
 		}
 	}
