budget, entry: small responses take the room of far larger ones that are being received

Callers saw: 502 for requests to sound endpoints while another endpoint sent bodies without end.

Cause: responses share one budget, which endless bodies use up: each may grow to 16 MB. Responses that needed 4 KB found no room for a second and were given up, although their endpoints had done the work.

Change: a response that is being received can be dropped for one that holds a quarter of it or less, the largest first. Its attempt ends as one without room. A stream can be dropped while it holds an incomplete event above 16 KB.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -38,6 +38,8 @@
 const (
 	whole     stage = iota // for nobody, or for an endpoint
 	receiving              // for the caller, which sends the body
+	answering              // for an endpoint, which sends the response
+	dropping               // for its owner, which gives up the response that it is receiving
 	sending                // for the caller, which reads the response
 	evicted                // gets nothing more, and holds what it has until it is closed
 )
@@ -54,6 +56,9 @@
 // Evicted reports whether the share was evicted.
 func (s *Share) Evicted() bool { return s.stage == evicted }
 
+// Dropped reports whether the response that the share is receiving must be given up.
+func (s *Share) Dropped() bool { return s.stage == dropping }
+
 // total returns the bytes that the share holds.
 func (s *Share) total() int64 { return s.held[Body] + s.held[Response] }
 
@@ -93,8 +98,9 @@
 type Budget struct {
 	capacity  int64
 	held      [kinds]int64
-	leaving   int64 // bytes that evicted shares still hold
+	leaving   int64 // bytes that evicted shares still hold, and those of dropped responses
 	receiving list
+	answering list
 	sending   list
 }
 
@@ -125,31 +131,48 @@
 // Send says that the share's response is being sent to the caller.
 func (b *Budget) Send(now time.Duration, s *Share) { b.move(now, s, sending) }
 
-// Complete says that the share's body is whole.
+// Answer says that the share's response is being received from an endpoint.
+func (b *Budget) Answer(now time.Duration, s *Share) { b.move(now, s, answering) }
+
+// Complete says that the share's body or response is whole, or that its response was given up.
 func (b *Budget) Complete(now time.Duration, s *Share) { b.move(now, s, whole) }
 
 // Progress says that the caller has sent a part of the body or has read a part of the response.
-func (b *Budget) Progress(now time.Duration, s *Share) { b.move(now, s, s.stage) }
+func (b *Budget) Progress(now time.Duration, s *Share) {
+	if s.stage != dropping {
+		b.move(now, s, s.stage)
+	}
+}
 
 // move gives a share that was not evicted a stage and the newest place in its list.
 func (b *Budget) move(now time.Duration, s *Share, to stage) {
 	if s.stage == evicted {
 		return
 	}
-	if l := b.listOf(s); l != nil {
-		l.remove(s)
-	}
+	b.leave(s)
 	s.stage, s.progressAt = to, now
 	if l := b.listOf(s); l != nil {
 		l.add(s)
 	}
 }
 
+// leave takes a share that was not evicted out of its stage.
+func (b *Budget) leave(s *Share) {
+	if l := b.listOf(s); l != nil {
+		l.remove(s)
+	}
+	if s.stage == dropping {
+		b.leaving -= s.held[Response]
+	}
+}
+
 // listOf returns the list of the share's stage; nil if it has none.
 func (b *Budget) listOf(s *Share) *list {
 	switch s.stage {
 	case receiving:
 		return &b.receiving
+	case answering:
+		return &b.answering
 	case sending:
 		return &b.sending
 	default:
@@ -158,10 +181,11 @@
 }
 
 // Grow lets a share hold more bytes. If there is no room, it evicts others: first bodies that are not whole, the one without progress
-// for the longest time first, then responses that their callers don't read. It evicts nothing and refuses if that does not make enough
-// room. The owners of the evicted shares must forget their memory and close the shares; the verdict is Pending until they have.
+// for the longest time first, then responses that their callers don't read. For a response it then drops the largest ones that are being
+// received, if they are far larger. It evicts nothing and refuses if that does not make enough room. The owners of the evicted shares must
+// forget their memory and close the shares, and those of dropped responses forget the response; the verdict is Pending until they have.
 func (b *Budget) Grow(now time.Duration, s *Share, kind Kind, bytes int64) ([]*Share, Verdict) {
-	if s.stage == evicted {
+	if s.stage == evicted || s.stage == dropping {
 		return nil, Refused
 	}
 	missing := b.held[Body] + b.held[Response] + bytes - b.limit(kind)
@@ -169,10 +193,52 @@
 		b.add(s, kind, bytes)
 		return nil, Granted
 	}
-	if missing -= b.leaving; missing > b.evictable(now, s) {
+	minDropped := b.capacity + 1 // nothing holds as much
+	if kind == Response {
+		minDropped = dropFactor * (s.held[Response] + bytes)
+	}
+	if missing -= b.leaving; missing > b.evictable(now, s)+b.droppable(s, minDropped) {
 		return nil, Refused
 	}
-	return b.evict(now, s, missing), Pending
+	out, missing := b.evict(now, s, missing)
+	return append(out, b.drop(s, minDropped, missing)...), Pending
+}
+
+// dropFactor is how many times as large as another response one must be to be dropped for it. Responses of similar size would otherwise
+// drop each other in turn.
+const dropFactor = 4
+
+// droppable returns the bytes of the other responses that are being received and hold at least a number of bytes.
+func (b *Budget) droppable(s *Share, minHeld int64) int64 {
+	bytes := int64(0)
+	for other := b.answering.first; other != nil; other = other.next {
+		if other != s && other.held[Response] >= minHeld {
+			bytes += other.held[Response]
+		}
+	}
+	return bytes
+}
+
+// drop drops other responses that hold at least a number of bytes, the largest first, until a number of bytes is free.
+func (b *Budget) drop(keep *Share, minHeld, missing int64) []*Share {
+	var out []*Share
+	for missing > 0 {
+		var largest *Share
+		for s := b.answering.first; s != nil; s = s.next {
+			if s != keep && s.held[Response] >= minHeld && (largest == nil || s.held[Response] > largest.held[Response]) {
+				largest = s
+			}
+		}
+		if largest == nil {
+			break
+		}
+		b.answering.remove(largest)
+		largest.stage = dropping
+		b.leaving += largest.held[Response]
+		missing -= largest.held[Response]
+		out = append(out, largest)
+	}
+	return out
 }
 
 // evictable returns the bytes that can be freed for a share.
@@ -192,8 +258,8 @@
 // stalled reports whether the caller of a response has not read any of it for sendingStall.
 func stalled(now time.Duration, s *Share) bool { return now-s.progressAt >= sendingStall }
 
-// evict evicts shares other than the given one until a number of bytes is free.
-func (b *Budget) evict(now time.Duration, keep *Share, missing int64) []*Share {
+// evict evicts shares other than the given one until a number of bytes is free. It returns them and the bytes that are still missing.
+func (b *Budget) evict(now time.Duration, keep *Share, missing int64) ([]*Share, int64) {
 	var out []*Share
 	for _, l := range []*list{&b.receiving, &b.sending} {
 		for s := l.first; s != nil && missing > 0 && (l == &b.receiving || stalled(now, s)); {
@@ -208,7 +274,7 @@
 			s = next
 		}
 	}
-	return out
+	return out, missing
 }
 
 // add adds bytes, which may be negative, to a share.
@@ -218,7 +284,7 @@
 	if l := b.listOf(s); l != nil {
 		l.held += bytes
 	}
-	if s.stage == evicted {
+	if s.stage == evicted || s.stage == dropping && kind == Response {
 		b.leaving += bytes
 	}
 }
@@ -237,10 +303,8 @@
 	for kind := range kinds {
 		b.ReleaseAll(s, kind)
 	}
-	if l := b.listOf(s); l != nil {
-		l.remove(s)
-	}
 	if s.stage != evicted {
+		b.leave(s)
 		s.stage = whole
 	}
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -11,11 +11,12 @@
 )
 
 // TestGrow guards against a budget that evicts the wrong request when memory is short: a whole one, one whose caller makes progress, or
-// any although that does not make enough room.
+// any although that does not make enough room. It also guards against small responses that are refused because an endpoint sends large
+// ones without end.
 func TestGrow(t *testing.T) {
 	const capacity = 100
 	type holder struct {
-		state      string // whole, receiving or sending
+		state      string // whole, receiving, answering or sending
 		bytes      int64
 		progressAt time.Duration
 	}
@@ -37,6 +38,11 @@
 		"room only for responses":    {[]holder{{"whole", 60, 0}}, budget.Body, 20, budget.Refused, nil},
 		"body for a body":            {[]holder{{"receiving", 70, 0}}, budget.Body, 20, budget.Pending, []int{0}},
 		"larger than the capacity":   {[]holder{{"receiving", 100, 0}}, budget.Response, 101, budget.Refused, nil},
+		"largest response":           {[]holder{{"answering", 30, 0}, {"answering", 45, 1}, {"answering", 25, 2}}, budget.Response, 5, budget.Pending, []int{1}},
+		"several responses":          {[]holder{{"answering", 45, 0}, {"answering", 48, 1}}, budget.Response, 11, budget.Pending, []int{1}},
+		"similar responses":          {[]holder{{"answering", 50, 0}, {"answering", 50, 1}}, budget.Response, 13, budget.Refused, nil},
+		"no response for a body":     {[]holder{{"answering", 75, 0}}, budget.Body, 5, budget.Refused, nil},
+		"bodies first":               {[]holder{{"answering", 50, 0}, {"receiving", 50, 1}}, budget.Response, 5, budget.Pending, []int{1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := budget.New(capacity)
@@ -53,6 +59,8 @@
 					switch h.state {
 					case "receiving":
 						b.Receive(h.progressAt, &shares[i])
+					case "answering":
+						b.Answer(h.progressAt, &shares[i])
 					case "sending":
 						b.Send(h.progressAt, &shares[i])
 					}
@@ -74,6 +82,28 @@
 	}
 }
 
+// TestDropped guards against a request that gets no memory for another response after it has given one up, and against one that gets more
+// for the response that it must give up.
+func TestDropped(t *testing.T) {
+	b, large, small := budget.New(100), new(budget.Share), new(budget.Share)
+	b.Answer(0, large)
+	_, verdict := b.Grow(0, large, budget.Response, 90)
+	qt.Assert(t, verdict, qt.Equals, budget.Granted)
+	dropped, verdict := b.Grow(0, small, budget.Response, 20)
+	qt.Assert(t, verdict, qt.Equals, budget.Pending)
+	qt.Assert(t, dropped, qt.HasLen, 1)
+	b.Progress(0, large)
+	_, verdict = b.Grow(0, large, budget.Response, 1)
+	qt.Check(t, verdict, qt.Equals, budget.Refused)
+	b.Release(large, budget.Response, 90)
+	b.Complete(0, large)
+	for _, s := range []*budget.Share{small, large} {
+		_, verdict = b.Grow(0, s, budget.Response, 50)
+		qt.Check(t, verdict, qt.Equals, budget.Granted)
+	}
+	qt.Check(t, b.Held(budget.Response), qt.Equals, int64(100))
+}
+
 // TestInvariant guards against bytes that are counted twice or never released, and against a budget above its capacity.
 func TestInvariant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -89,7 +119,7 @@
 			now += time.Duration(rapid.IntRange(0, 600).Draw(t, "ms")) * time.Millisecond
 			i, kind := rapid.IntRange(0, len(shares)-1).Draw(t, "share"), budget.Kind(rapid.IntRange(0, 1).Draw(t, "kind"))
 			s, bytes := shares[i], rapid.Int64Range(0, 30).Draw(t, "bytes")
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0:
 				b.Receive(now, s)
 			case 1:
@@ -107,11 +137,13 @@
 				if s.Evicted() {
 					shares[i] = &budget.Share{Owner: i}
 				}
+			case 6:
+				b.Answer(now, s)
 			default:
 				list, verdict := b.Grow(now, s, kind, bytes)
 				for _, e := range list {
-					if e == s || !e.Evicted() {
-						t.Fatalf("a share was evicted for itself, or not marked as evicted")
+					if e == s || !e.Evicted() && !e.Dropped() {
+						t.Fatalf("a share was evicted for itself, or not marked as evicted or dropped")
 					}
 				}
 				if verdict == budget.Granted {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -67,9 +67,9 @@
 		return false
 	}
 	if send.Route.Stream && response.StatusCode == http.StatusOK {
-		return h.relayStream(parent, ctx, t, response)
+		return h.relayStream(parent, ctx, cancel, t, response)
 	}
-	return h.relayWhole(parent, ctx, t, response, result)
+	return h.relayWhole(parent, ctx, cancel, t, response, result)
 }
 
 // maySend reports whether a request may still be sent to a chosen endpoint: the endpoint is registered and takes requests, and the
@@ -163,8 +163,8 @@
 
 // relayWhole buffers the complete response before it sends it, so that a truncated response never reaches the caller.
 // It reports whether the request is finished.
-func (h *Host) relayWhole(parent, ctx context.Context, t *task, incoming *connection.Response, result dispatch.AttemptFinished) bool {
-	body, err := h.readResponse(ctx, t, incoming)
+func (h *Host) relayWhole(parent, ctx context.Context, cancel context.CancelCauseFunc, t *task, incoming *connection.Response, result dispatch.AttemptFinished) bool {
+	body, err := h.readResponse(ctx, t, incoming, func() { cancel(errNoAnswerRoom) })
 	if err == nil && h.endedByCrash(ctx, t, incoming) {
 		h.releaseResponse(t, body)
 		err = errBrokenOff
@@ -198,8 +198,9 @@
 }
 
 // relayStream sends the events of a stream to the caller as they arrive. It reports whether the request is finished.
-func (h *Host) relayStream(parent, ctx context.Context, t *task, response *connection.Response) bool {
-	w := h.newStreamWriter(t)
+func (h *Host) relayStream(parent, ctx context.Context, cancel context.CancelCauseFunc, t *task, response *connection.Response) bool {
+	w := h.newStreamWriter(t, func() { cancel(errNoAnswerRoom) })
+	defer w.release()
 	var events eventBuffer
 	buffer := make([]byte, 4<<10)
 	reported := false
@@ -295,7 +296,7 @@
 	}
 	outcome := dispatch.ResponseLost
 	switch {
-	case errors.Is(err, errNoAnswerRoom):
+	case errors.Is(err, errNoAnswerRoom), errors.Is(context.Cause(ctx), errNoAnswerRoom):
 		outcome = dispatch.NoRoom
 	case errors.Is(context.Cause(ctx), errNoResponse):
 		outcome = dispatch.ResponseTimedOut
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -65,6 +65,24 @@
 	m.budget.Receive(m.now(), &t.share)
 }
 
+// answer says that the response of a task is being received. If it must be given up, drop is called.
+func (m *memory) answer(t *task, drop func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.share.Owner, t.dropResponse = t, drop
+	m.budget.Answer(m.now(), &t.share)
+}
+
+// answered says that the response of a task is no longer being received. It returns false if the response must be given up.
+func (m *memory) answered(t *task) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kept := !t.share.Dropped()
+	t.dropResponse = nil
+	m.budget.Complete(m.now(), &t.share)
+	return kept
+}
+
 // send says that the response of a task is being sent.
 func (m *memory) send(t *task) {
 	m.mu.Lock()
@@ -126,9 +144,13 @@
 	return verdict
 }
 
-// interrupt ends the pending read or write of an evicted task. The caller holds the lock: the handler of a task that was evicted has not
+// interrupt ends the pending read or write of an evicted task, or the attempt whose response is dropped. The caller holds the lock: the handler of a task that was evicted has not
 // returned, because it closes its share first, so that the deadline can't reach a later request of the connection.
 func (m *memory) interrupt(t *task) {
+	if t.share.Dropped() {
+		t.dropResponse()
+		return
+	}
 	control, past := http.NewResponseController(t.writer), time.Unix(1, 0)
 	err := control.SetReadDeadline(past)
 	if t.sending {
--- a/entry/request.go
+++ b/entry/request.go
@@ -40,6 +40,7 @@
 	firstEventTime  time.Duration // from the start of the last attempt to the first event
 	responseStarted bool          // the last attempt has received an event
 	share           budget.Share  // of the host's memory
+	dropResponse    func()        // gives up the response that is being received; guarded by the lock of the host's memory
 	sending         bool          // a whole response is being sent; guarded by the lock of the host's memory
 }
 
--- a/entry/response.go
+++ b/entry/response.go
@@ -41,8 +41,23 @@
 	body   [][]byte
 }
 
-// readResponse reads the whole body of a response within the budget.
-func (h *Host) readResponse(ctx context.Context, t *task, incoming *connection.Response) ([][]byte, error) {
+// readResponse reads the whole body of a response within the budget. A much smaller response may take its room; drop then ends the attempt.
+func (h *Host) readResponse(ctx context.Context, t *task, incoming *connection.Response, drop func()) ([][]byte, error) {
+	h.memory.answer(t, drop)
+	body, err := h.readResponsePieces(ctx, t, incoming)
+	if !h.memory.answered(t) {
+		h.memory.report(t, noRoomAnswer)
+		err = errNoAnswerRoom
+	}
+	if err != nil {
+		h.releaseResponse(t, body)
+		return nil, err
+	}
+	return body, nil
+}
+
+// readResponsePieces reads the pieces of a response. With an error it returns those that it has read.
+func (h *Host) readResponsePieces(ctx context.Context, t *task, incoming *connection.Response) ([][]byte, error) {
 	var body [][]byte
 	var received int64
 	for {
@@ -62,8 +77,7 @@
 			return body, nil
 		}
 		if err != nil {
-			h.releaseResponse(t, body)
-			return nil, err
+			return body, err
 		}
 	}
 }
@@ -138,10 +152,13 @@
 	until   time.Time // end of the request with writeGrace
 	armedAt time.Time // when the write deadline was last set
 	held    int64     // bytes of an incomplete event that the budget covers
+	covered bool      // the budget may drop the response
+	drop    func()    // ends the attempt
 }
 
-func (h *Host) newStreamWriter(t *task) *streamWriter {
-	return &streamWriter{host: h, task: t, control: http.NewResponseController(t.writer), until: time.Now().Add(t.deadline - h.Now() + writeGrace)}
+// newStreamWriter returns a writer for the events of an attempt, which drop ends. The caller must call release.
+func (h *Host) newStreamWriter(t *task, drop func()) *streamWriter {
+	return &streamWriter{host: h, task: t, drop: drop, control: http.NewResponseController(t.writer), until: time.Now().Add(t.deadline - h.Now() + writeGrace)}
 }
 
 // send sends events. If the caller does not read them in time or has left, it ends the request and closes the connection.
@@ -177,10 +194,25 @@
 		return true
 	}
 	missing = max(missing, freeEventBytes)
-	w.held += missing
+	if !w.covered {
+		w.covered = true
+		w.host.memory.answer(w.task, w.drop)
+	}
 	if !w.host.memory.grow(w.task, budget.Response, missing) {
 		w.host.memory.report(w.task, noRoomAnswer)
 		return false
 	}
+	w.held += missing
 	return true
 }
+
+// release releases the memory of an incomplete event.
+func (w *streamWriter) release() {
+	if !w.covered {
+		return
+	}
+	if !w.host.memory.answered(w.task) {
+		w.host.memory.report(w.task, noRoomAnswer)
+	}
+	w.host.memory.release(w.task, budget.Response, w.held)
+}
