--- a/caller/sender.go
+++ b/caller/sender.go
@@ -20,6 +20,7 @@
 	idleTimeout        = 60 * time.Second
 	maxIdlePerEndpoint = 512
 	readBufferBytes    = 16 << 10
+	maxHeadBytes       = 64 << 10 // of a response; net/http allows 10 MB
 )
 
 // endpointRequest is an HTTP request to an endpoint.
@@ -40,16 +41,17 @@
 func newSender() *sender {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConns:        0,
-		MaxIdleConnsPerHost: maxIdlePerEndpoint,
-		IdleConnTimeout:     idleTimeout,
-		ReadBufferSize:      readBufferBytes,
-		DisableCompression:  true,
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         readBufferBytes,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
 	}
 	// An endpoint may close an idle connection just when a request is written to it; the host could not tell whether that
 	// request was run.
-	unpooled := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	unpooled := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &sender{pooled: pooled, unpooled: unpooled}
 }
 
