entry, dispatch: a planned stop answers all requests that it has read

Callers saw: connections closed without an answer at the end of the grace period, also for requests that may not be repeated.

Cause: requests were passed on until the end, and those that still ran were cut when the HTTP server closed. During its shutdown the HTTP server also closes connections on which it reads a request, without a response.

The HTTP server is shut down when no request is running. Before the end of the grace period, running requests are ended as at their deadline: 502 if they may have run, 503 if not.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -49,6 +49,8 @@
 	candidates     []candidate                // scratch space of chooseEngine
 	hostHash       uint64
 	warmup         warmupState
+	stopping       bool          // the host has begun to stop
+	endsAt         time.Duration // when the host ends its requests, if it is stopping
 	effects        []Effect
 }
 
@@ -94,7 +96,11 @@
 	case RequestAbandoned:
 		s.handleRequestAbandoned(now, e.Number)
 	case RequestTimedOut:
-		s.handleRequestTimedOut(now, e.Number)
+		s.endRequest(now, e.Number, TimedOut)
+	case HostStopping:
+		s.handleHostStopping(now, e)
+	case RequestStopped:
+		s.endRequest(now, e.Number, Stopping)
 	case Tick:
 		s.handleTick(now)
 	case ConfigurationChanged:
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -39,6 +39,13 @@
 // RequestAbandoned says that the caller of a request has disconnected.
 type RequestAbandoned struct{ Number uint64 }
 
+// HostStopping says that the host has begun to stop and ends its requests at a time. Those that may take longer and that no endpoint has
+// received are refused from now on.
+type HostStopping struct{ EndsAt time.Duration }
+
+// RequestStopped says that a request is ended because the host stops.
+type RequestStopped struct{ Number uint64 }
+
 // RequestTimedOut says that a request has reached its deadline.
 type RequestTimedOut struct{ Number uint64 }
 
@@ -179,6 +186,8 @@
 func (AttemptFinished) isEvent()      {}
 func (RequestAbandoned) isEvent()     {}
 func (RequestTimedOut) isEvent()      {}
+func (HostStopping) isEvent()         {}
+func (RequestStopped) isEvent()       {}
 func (Tick) isEvent()                 {}
 func (ConfigurationChanged) isEvent() {}
 func (EndpointsChanged) isEvent()     {}
--- a/dispatch/identify.go
+++ b/dispatch/identify.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"magnoliahoist/catalog"
 	"magnoliahoist/intake"
 )
@@ -31,7 +33,10 @@
 
 // RefusalByHeader returns the refusal of a request that is refused whatever its body is, so that the body need not be read. It returns
 // false if the request may be admitted once its body is there. It changes nothing.
-func (s *State) RefusalByHeader(arrival RequestArrived) (RefuseRequest, bool) {
-	_, _, reason, known := s.identify(arrival.Request, arrival.CutOff)
+func (s *State) RefusalByHeader(now time.Duration, arrival RequestArrived) (RefuseRequest, bool) {
+	route, _, reason, known := s.identify(arrival.Request, arrival.CutOff)
+	if known && s.outlives(now+timeLimit(arrival.Request.CallerTimeout, route.Timeout)) {
+		reason, known = Stopping, false
+	}
 	return RefuseRequest{Number: arrival.Number, Reason: reason}, !known
 }
--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -19,6 +19,7 @@
 	AttemptFailed               // attempt failed
 	CutOff                      // host is cut off
 	Quarantined                 // part of the prompt crashes engines
+	Stopping                    // host is stopping
 )
 
 // Ran says whether a refused request was executed.
--- a/dispatch/reason_string.go
+++ b/dispatch/reason_string.go
@@ -20,11 +20,12 @@
 	_ = x[AttemptFailed-9]
 	_ = x[CutOff-10]
 	_ = x[Quarantined-11]
+	_ = x[Stopping-12]
 }
 
-const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut offpart of the prompt crashes engines"
+const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut offpart of the prompt crashes engineshost is stopping"
 
-var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154, 188}
+var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154, 188, 204}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -153,6 +153,9 @@
 	r.pool = s.poolByName(poolName)
 	r.partIDs = partIDsOf(a.Request.Work)
 	r.deadline = now + timeLimit(a.Request.CallerTimeout, route.Timeout)
+	if s.outlives(r.deadline) {
+		return nil, Stopping
+	}
 	return r, 0
 }
 
@@ -392,14 +395,14 @@
 	s.remove(now, r)
 }
 
-// handleRequestTimedOut refuses a request that has reached its deadline.
-func (s *State) handleRequestTimedOut(now time.Duration, number uint64) {
+// endRequest refuses a request that has reached its deadline, or the end of the host.
+func (s *State) endRequest(now time.Duration, number uint64, reason Reason) {
 	r := s.requests[number]
 	if r == nil {
 		return
 	}
 	s.remove(now, r)
-	s.emit(s.newRefusal(r, TimedOut, 0))
+	s.emit(s.newRefusal(r, reason, 0))
 }
 
 // remove removes a request whatever its phase. It refunds its tokens unless an attempt may have been executed.
--- a/entry/body.go
+++ b/entry/body.go
@@ -146,7 +146,7 @@
 // refuseByHeader refuses a request that is refused whatever its body is, without holding its body. It reports whether it did.
 func (h *Host) refuseByHeader(t *task) bool {
 	h.mu.Lock()
-	refusal, refused := h.state.RefusalByHeader(h.arrival(t))
+	refusal, refused := h.state.RefusalByHeader(h.Now(), h.arrival(t))
 	h.mu.Unlock()
 	if refused {
 		h.refuseUnread(t, func() { h.refuse(t, refusal) })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,7 +65,7 @@
 
 	catalog    atomic.Pointer[catalog.Catalog]
 	ready      atomic.Bool
-	stopSignal stopSignal
+	stopSignal *stopSignal
 
 	callerServer   *server
 	readyServer    *server
@@ -109,7 +109,7 @@
 		}),
 	}
 	h.operatorSource = storeSource
-	h.stopSignal.began = make(chan struct{})
+	h.stopSignal = newStopSignal()
 	h.registry.tableCopy = newTableCopy(fractionOf(settings.DrainLimit, endpointValidityFraction))
 	h.engines = platform.NewEngineClient(h.connections, settings.Name, h.heedNotice)
 	h.fleet = newFleet(cmp.Or(settings.AdvertisedAddress, settings.Peers), settings.Domain, settings.ProcessorShare*settings.LinkMbps)
--- a/entry/request.go
+++ b/entry/request.go
@@ -21,6 +21,7 @@
 const (
 	errCallerLeft = errors.ConstError("caller has disconnected")
 	errExpired    = errors.ConstError("request deadline has passed")
+	errStopping   = errors.ConstError("host is stopping")
 )
 
 // task is the state of one caller's request from its arrival to its response.
@@ -78,6 +79,7 @@
 func (h *Host) serve(parent context.Context, t *task) {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	defer context.AfterFunc(h.stopSignal.ending, func() { cancel(errStopping) })()
 	t.effects, t.deadline = h.openRequest(h.arrival(t))
 	defer h.closeRequest(t.number)
 	if t.deadline > 0 {
@@ -110,15 +112,22 @@
 	}
 }
 
-// abort ends a request whose caller has disconnected or whose deadline has passed. After a suspension of the machine the deadline may
-// have passed before the context has ended.
+// abort ends a request whose caller has disconnected, whose deadline has passed or which the host ends as it stops. After a suspension of
+// the machine the deadline may have passed before the context has ended.
 func (h *Host) abort(ctx context.Context, t *task) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errExpired) {
+	cause := context.Cause(ctx)
+	if cause != nil && !errors.Is(cause, errExpired) && !errors.Is(cause, errStopping) {
 		h.Apply(dispatch.RequestAbandoned{Number: t.number})
 		h.log.Info("entry: caller left", "request", t.request.ID, "after", (h.Now() - t.arrived).String(), "endpoint", t.lastSend.Endpoint.ID, "work", t.request.Describe())
 		h.breakOff(t) // a return without a response would send an empty success
 	}
-	h.Apply(dispatch.RequestTimedOut{Number: t.number})
+	reason := dispatch.TimedOut
+	if errors.Is(cause, errStopping) {
+		reason = dispatch.Stopping
+		h.Apply(dispatch.RequestStopped{Number: t.number})
+	} else {
+		h.Apply(dispatch.RequestTimedOut{Number: t.number})
+	}
 	for {
 		select {
 		case effect := <-t.effects:
@@ -127,7 +136,7 @@
 				return
 			}
 		default:
-			h.refuse(t, dispatch.RefuseRequest{Number: t.number, Reason: dispatch.TimedOut, Ran: dispatch.RanUnknown})
+			h.refuse(t, dispatch.RefuseRequest{Number: t.number, Reason: reason, Ran: dispatch.RanUnknown})
 			return
 		}
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -180,17 +180,14 @@
 // Wait returns when the host has stopped. The error is the cause, or nil after a graceful stop.
 func (h *Host) Wait() error { return errors.Trace(h.tomb.Wait()) }
 
-// arrivedTime is how long a stopping server waits for requests that are arriving.
-const arrivedTime = 200 * time.Millisecond
+// shutdownTimeout bounds the shutdown of a server without running requests. It would otherwise wait for connections on which no request
+// has arrived, and close them without a response if one does.
+const shutdownTimeout = 100 * time.Millisecond
 
-// shutdown waits for the server's running requests and closes the server. The idle connections are closed first, because the HTTP
-// server would also close those on which a request has begun to arrive. At the end of the context it closes the
-// remaining connections.
+// shutdown closes a server that has no running requests.
 func (s *server) shutdown(ctx context.Context) {
-	s.listener.closeIdle()
-	for end := time.Now().Add(arrivedTime); s.listener.count(listener.Reading) > 0 && time.Now().Before(end); {
-		time.Sleep(arrivedTime / 20)
-	}
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
 		s.http.Close()
 	}
--- a/system/endless_test.go
+++ b/system/endless_test.go
@@ -7,8 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,14 +29,37 @@
 // maxFloodBytes bounds what an endpoint sends on one connection to a host that never closes it.
 const maxFloodBytes = 64 << 20
 
-// startFlood registers an endpoint of the service odd that floods every connection on which it has read a request. It returns the number
-// of requests that it has read.
-func (s *site) startFlood(f flood) *atomic.Int64 {
+// floodLog contains the ids of the requests that a flooding endpoint has read.
+type floodLog struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+func (l *floodLog) add(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ids = append(l.ids, id)
+}
+
+func (l *floodLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.ids)
+}
+
+func (l *floodLog) has(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.ids, id)
+}
+
+// startFlood registers an endpoint of the service odd that floods every connection on which it has read a request.
+func (s *site) startFlood(f flood) *floodLog {
 	s.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(func() { listener.Close() })
-	var requests atomic.Int64
+	requests := new(floodLog)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -48,7 +72,7 @@
 				if err != nil {
 					return
 				}
-				requests.Add(1)
+				requests.add(request.Header.Get("X-Request-Id"))
 				f.send(conn, request)
 			}()
 		}
@@ -59,7 +83,7 @@
 	})
 	qt.Assert(s.t, err, qt.IsNil)
 	s.putRow("servers", "odd0", value)
-	return &requests
+	return requests
 }
 
 // send floods a connection and returns when the host has closed it.
@@ -113,7 +137,7 @@
 			requests := s.startFlood(f)
 			s.eventually("the endpoint is in use", func() bool {
 				s.sendRaw(requestHead(0, f.path, "Content-Length: 0", "X-Deadline-Ms: 100"))
-				return requests.Load() > 0
+				return requests.count() > 0
 			})
 			runConcurrently(hostileClients, func(n int) {
 				s.sendRaw(requestHead(n, f.path, "Content-Length: 0", "X-Deadline-Ms: 4000"))
@@ -123,7 +147,7 @@
 				got := s.ask(siteRequest{path: "/lookup/1", key: "k1"})
 				qt.Assert(t, got.status, qt.Equals, http.StatusOK)
 			}
-			t.Logf("the endpoint has read %d requests", requests.Load())
+			t.Logf("the endpoint has read %d requests", requests.count())
 			s.checkServing()
 		})
 	}
@@ -145,7 +169,7 @@
 	configuration["limits"].(map[string]any)["max_body_bytes"] = maxTestBody
 	for name, kind := range map[string]string{"odd": "non_idempotent", "oddstream": "stream"} {
 		configuration["routes"] = append(configuration["routes"].([]any), map[string]any{
-			"name": name, "host": "h", "prefix": "/" + name + "/", "kind": kind, "service": "odd", "timeout_ms": 5000, "goal_ms": 2000, "attempts": 1, "gap_goal_ms": 1000,
+			"name": name, "host": "h", "prefix": "/" + name + "/", "kind": kind, "service": "odd", "timeout_ms": 30000, "goal_ms": 2000, "attempts": 1, "gap_goal_ms": 1000,
 		})
 	}
 	configuration["services"] = append(configuration["services"].([]any), map[string]any{"name": "odd", "max_conns": 2 * hostileClients})
