--- a/entry/memory.go
+++ b/entry/memory.go
@@ -144,8 +144,9 @@
 	return verdict
 }
 
-// interrupt ends the pending read or write of an evicted task, or the attempt whose response is dropped. The caller holds the lock: the handler of a task that was evicted has not
-// returned, because it closes its share first, so that the deadline can't reach a later request of the connection.
+// interrupt ends the pending read or write of an evicted task, or the attempt of a task whose response is dropped. The caller holds the
+// lock: the handler of such a task has not returned, because it closes its share first, so that the deadline can't reach a later request
+// of the connection.
 func (m *memory) interrupt(t *task) {
 	if t.share.Dropped() {
 		t.dropResponse()
