--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -102,8 +102,8 @@
 // outcomeReached reports whether an endpoint may have received a byte of an attempt with an outcome.
 func outcomeReached(o Outcome) bool { return o != NotSent && o != Withdrawn }
 
-// retryOrRefuse queues a request for a retry if its route, the time before its deadline and the retry budget allow one, and
-// refuses it otherwise. Attempts that reached no endpoint count neither for the route's bound nor for the budget.
+// retryOrRefuse queues a request for a retry if its route, the time before its deadline, the retry budget and a stop of the host allow
+// one, and refuses it otherwise. Attempts that reached no endpoint count neither for the route's bound nor for the budget.
 func (s *State) retryOrRefuse(now time.Duration, r *request, reason Reason, retryAfter time.Duration) {
 	allowed := !s.outlives(r.deadline) && r.reached < r.route.MaxAttempts && r.attempts-r.reached < maxUnsentAttempts && (!r.mayHaveRun || r.route.Retryable())
 	if !allowed || r.deadline-now < minTimeForRetry || r.reached > 0 && !r.pool.retryBudget.allowRetry(now, s.settings, s.hostFraction) {
--- a/residency/engine.go
+++ b/residency/engine.go
@@ -15,7 +15,7 @@
 	inFlight            *Order // order without a definitive response
 	resend              bool   // inFlight got no response and must be sent again
 	unanswered          bool   // inFlight got no response at least once
-	givenUp             *Order // last order that was given up without a response to its first sending; it may still be carried out
+	givenUp             *Order // last order that was given up although one of its sendings got no response; it may still be carried out
 	loading             string // model that the engine is loading
 	unloading           string // model that the engine is unloading
 	retiring            string // model that hosts are told not to use because it is unloaded next
