--- a/entry/attempt_test.go
+++ b/entry/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -121,6 +122,21 @@
 	h.publishEndpoints()
 }
 
+// askFor sends a request for the model m to a host and returns the response with its body, and the error at the end of the body.
+func askFor(t *testing.T, host *httptest.Server, r fakeplatform.Request) (*http.Response, string, error) {
+	t.Helper()
+	r.Host, r.Model, r.Tokens = "h", "m", "100,10"
+	request, err := r.HTTPRequest(host.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	response, err := http.DefaultClient.Do(request.WithContext(ctx))
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // TestEndlessAnswer guards against a faulty endpoint that sends an endless event or an endless whole response until the
--- a/entry/server.go
+++ b/entry/server.go
@@ -184,7 +184,7 @@
 // has arrived, and close them without a response if one does.
 const shutdownTimeout = 100 * time.Millisecond
 
-// shutdown closes a server that has no running requests.
+// shutdown closes a server. Requests that still run are cut off.
 func (s *server) shutdown(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
