fakeplatform, system: a store that comes back from a backup

Operators report two hosts with one fencing number and changes of the configuration that are not in force in time. Their logs show followers that receive older revisions.

--- /dev/null
+++ b/system/platform_restore_test.go
@@ -0,0 +1,138 @@
+package system_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/platform/fakeplatform"
+)
+
+// configurationBound is config_apply_ms of the platform: a change is in force later than this after the store has acknowledged it.
+const configurationBound = 2 * time.Second
+
+// storeAbsence is how long the store is away before it comes back from its backup.
+const storeAbsence = 700 * time.Millisecond
+
+// backUpStore makes the store keep a copy of itself.
+func (s *site) backUpStore() { s.postStore("/backup") }
+
+// restoreStore makes the store come back from the copy that it kept.
+func (s *site) restoreStore() { s.postStore(fmt.Sprintf("/restore?absence=%s", storeAbsence)) }
+
+func (s *site) postStore(path string) {
+	s.t.Helper()
+	response, err := s.client.Post("http://"+s.store.address()+path, "", nil)
+	qt.Assert(s.t, err, qt.IsNil)
+	response.Body.Close()
+	qt.Assert(s.t, response.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// rewriteConfiguration writes the newest version of the configuration once more.
+func (s *site) rewriteConfiguration(keys ...string) {
+	s.t.Helper()
+	s.version--
+	s.putConfiguration(keys...)
+}
+
+// TestRestoredConfiguration guards against a change that is not in force in time after the store has come back from a backup, and
+// against a withdrawn key that is accepted again because the backup still has it.
+func TestRestoredConfiguration(t *testing.T) {
+	for name, rewritten := range map[string]bool{"lost change written again": true, "only a newer change": false} {
+		t.Run(name, func(t *testing.T) {
+			parallelFleet(t)
+			s := newSite(t, 3)
+			s.leaseHolder()
+			s.backUpStore()
+			s.putConfiguration("k2")
+			for n := range s.hosts {
+				s.eventually("the lost change is in force", func() bool {
+					return s.ask(siteRequest{host: n, path: "/stamp/1", key: "k1"}).status == http.StatusUnauthorized
+				})
+			}
+			time.Sleep(6 * time.Second) // the store's versions advance by the renewals of the lease
+			s.restoreStore()
+			if rewritten {
+				s.rewriteConfiguration("k2")
+			}
+			time.Sleep(300 * time.Millisecond)
+			s.putConfiguration("k3")
+			written := time.Now()
+			for time.Since(written) < 3*configurationBound {
+				for n := range s.hosts {
+					for key, want := range map[string]int{"k1": http.StatusUnauthorized, "k2": http.StatusUnauthorized, "k3": http.StatusOK} {
+						late := time.Since(written) > configurationBound
+						if got := s.ask(siteRequest{host: n, path: "/stamp/1", key: key}).status; got != want && (late || key == "k1") {
+							t.Fatalf("host %d, key %s, %s after the change: status %d, want %d", n, key, time.Since(written).Round(time.Millisecond), got, want)
+						}
+					}
+				}
+				time.Sleep(pollInterval)
+			}
+		})
+	}
+}
+
+// checkFencingNumbers fails the test if two hosts have sent orders to any engine with the same fencing number, or if an engine
+// received a lower number after a higher one.
+func (s *site) checkFencingNumbers() (holders int) {
+	s.t.Helper()
+	owners := map[int64]string{}
+	for n, e := range s.engines {
+		var history fakeplatform.History
+		getJSON(s.t, e.address(), "/runs", &history)
+		highest := int64(0)
+		for _, o := range history.Orders {
+			if owner, known := owners[o.FencingNumber]; known && owner != o.Owner {
+				s.t.Errorf("fencing number %d was used by %s and %s", o.FencingNumber, owner, o.Owner)
+			}
+			owners[o.FencingNumber] = o.Owner
+			if o.FencingNumber < highest {
+				s.t.Errorf("engine %d: fencing number %d after %d", n, o.FencingNumber, highest)
+			}
+			highest = max(highest, o.FencingNumber)
+		}
+	}
+	names := map[string]bool{}
+	for _, owner := range owners {
+		names[owner] = true
+	}
+	return len(names)
+}
+
+// loadAdapter waits until a host serves an adapter, for which the lease holder orders an engine to load it.
+func (s *site) loadAdapter(host int, model string) {
+	s.t.Helper()
+	s.eventually("host "+fmt.Sprint(host)+" serves "+model, func() bool {
+		return s.ask(siteRequest{host: host, path: "/draft/1", key: "k1", model: model}).status == http.StatusOK
+	})
+}
+
+// TestRestoredLease guards against two lease holders with the same fencing number: the store forgets a change of the holder, the
+// new holder is lost, and the next one acquires the lease from the backup's row.
+func TestRestoredLease(t *testing.T) {
+	parallelFleet(t)
+	s := newSite(t, 3)
+	first := s.leaseHolder()
+	s.loadAdapter((first+1)%3, "m1/a1")
+	s.backUpStore()
+	s.hosts[first].Kill()
+	next := -1
+	s.eventually("another host holds the lease", func() bool {
+		for n := range s.hosts {
+			if status := s.statusOf(n); n != first && status.ID != "" && status.Leases["llm"] == status.ID {
+				next = n
+			}
+		}
+		return next >= 0
+	})
+	last := 3 - first - next
+	s.loadAdapter(last, "m1/a2")
+	s.hosts[next].Kill()
+	s.restoreStore()
+	s.loadAdapter(last, "m1/a3")
+	qt.Check(t, s.checkFencingNumbers(), qt.Equals, 3)
+}
