platform, entry: log and count restorations of the store

A store that comes back from a backup looked like one that was away: the logs had older revisions and compacted histories only. No decision depends on it yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -116,7 +116,7 @@
 	h.memory = newMemory(int64(settings.Bodies*float64(settings.MemoryMB*megabyte)), h.log, func(cause shortage) {
 		h.metrics.shortages.WithLabelValues(cause.String()).Inc()
 	})
-	h.store = &storeAccess{store: platform.NewStore(settings.Store), otherHosts: h.otherHosts, self: h.sender(), now: h.Now, maxSilence: settings.MaxStoreSilence.Std()}
+	h.store = &storeAccess{store: platform.NewStore(settings.Store), otherHosts: h.otherHosts, self: h.sender(), now: h.Now, onRestored: h.noteRestored, maxSilence: settings.MaxStoreSilence.Std()}
 	h.metrics = newMetrics(h)
 	h.store.countCall = func(c storeCall, err error) {
 		h.metrics.store.WithLabelValues(c.way, c.kind, c.table, resultLabel(err)).Inc()
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -77,6 +77,7 @@
 		return 0
 	})
 	gauge("silence_seconds", "Time without proof that the configuration is current.", func() float64 { return h.store.Silence().Seconds() })
+	gauge("store_era", "Era of the store, which rises when the store comes back from a backup; 0 if the store reports none.", func() float64 { return float64(h.store.Era()) })
 	gauge("endpoints_age_seconds", "Time since the copy of the registrations was shown to be current, by the store or through the holder of a lease; -1 when it never was.", func() float64 {
 		return h.copyAge(&h.registry.tableCopy).Seconds()
 	})
--- a/entry/relayread.go
+++ b/entry/relayread.go
@@ -104,6 +104,7 @@
 		}
 		return err
 	})
+	a.noteEra(snapshot.Era)
 	return snapshot, err
 }
 
@@ -236,6 +237,7 @@
 		result, err = a.store.Commit(bounded, txn)
 		return err
 	})
+	a.noteEra(result.Era)
 	return result, err
 }
 
--- a/entry/relayserve.go
+++ b/entry/relayserve.go
@@ -48,6 +48,7 @@
 		snapshot, err = h.store.store.Follow(ctx, r.GetTable(), r.GetAfter(), wait)
 	}
 	h.store.countCall(readCall("proxied", r), err)
+	h.store.noteEra(snapshot.Era)
 	h.store.recordCall(startedAt, err)
 	switch {
 	case errors.Is(err, table.ErrCompacted):
@@ -76,6 +77,7 @@
 	startedAt := h.Now()
 	result, err := h.store.store.Commit(ctx, txn)
 	h.store.countCall(writeCall("proxied", txn), err)
+	h.store.noteEra(result.Era)
 	h.store.recordCall(startedAt, err)
 	if errors.Is(err, table.ErrNotApplied) {
 		return &peer.WriteResponse{Away: true}, nil
--- a/entry/storeaccess.go
+++ b/entry/storeaccess.go
@@ -37,6 +37,7 @@
 	self       peer.Sender
 	now        func() time.Duration
 	countCall  func(call storeCall, err error) // counts a call and its result
+	onRestored func(before, era int64)         // called when the store has come back from a backup
 	maxSilence time.Duration                   // setting "trust": without confirmation for longer, API keys are no longer accepted
 
 	mu sync.Mutex
@@ -47,6 +48,7 @@
 	currentAt       time.Duration // latest time at which the configuration was confirmed to be current
 	clock           storeClock
 	outage          outageReports
+	era             int64 // newest era of the store in a response; 0 if there was none
 	operatorReads   operatorReads
 	configRevision  int64         // revision of the newest change of the operator table that was read
 	configClock     time.Duration // the store's clock at the latest confirmation that configRevision is the newest; 0 before the first
--- a/entry/storeaccess_test.go
+++ b/entry/storeaccess_test.go
@@ -87,6 +87,7 @@
 		otherHosts: func() (*peer.Client, []peer.Target) { return client, f.targets },
 		now:        func() time.Duration { return f.now },
 		countCall:  func(storeCall, error) {},
+		onRestored: func(int64, int64) {},
 		maxSilence: maxSilence,
 	}
 	return f
