entry: follow a store that has come back from a backup

Callers saw changes of the configuration that were not in force 2 s after their acknowledgement, and withdrawn keys that were still accepted. The store had come back from a backup: its versions went back and were given out again. Hosts compare revisions everywhere as if they only rose, so followers discarded all answers until the versions had caught up, copies dropped rows whose version was lower than a known one, and reports of the lease holder were taken for old.

A revision now contains the era of the store, which the client takes from the header Store-Era, in the bits above the version. All comparisons stay as they are and hold across restorations. A follower whose revision is of another era reads the table whole; late answers from before the restoration are rejected, directly and through other hosts; conditions from before it are not sent, and a commit that meets one in a later era has an unknown outcome. Changes that a lease holder or deputy reports count only within one era, since rows that were lost leave no tombstone.

--- a/entry/deputy.go
+++ b/entry/deputy.go
@@ -159,12 +159,7 @@
 		return
 	}
 	h.log.Info("entry: following the tables as a deputy", "pool", pool, "holder", h.believedHolder(pool))
-	for _, wake := range []chan struct{}{h.configChanged, h.endpointsWake, h.membersWake} {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
-	}
+	h.wakeFollowers()
 }
 
 // leaseReadPause returns the minimum time between two reads of the leases: short for the hosts that acquire a free lease
--- a/entry/endpoints.go
+++ b/entry/endpoints.go
@@ -100,8 +100,8 @@
 	case c.Endpoint.ColdFor > 0:
 		state = "cold"
 	}
-	h.log.Info("entry: endpoint registration changed", "endpoint", c.ID, "state", state, "pool", c.Endpoint.Pool, "address", c.Endpoint.Address, "revision", c.Revision,
-		"cold", c.Endpoint.ColdFor.String(), "table", h.registry.revision, "source", h.registry.source, "age", h.age(&h.registry.tableCopy).String())
+	h.log.Info("entry: endpoint registration changed", "endpoint", c.ID, "state", state, "pool", c.Endpoint.Pool, "address", c.Endpoint.Address, "revision", table.VersionOf(c.Revision),
+		"cold", c.Endpoint.ColdFor.String(), "table", table.VersionOf(h.registry.revision), "source", h.registry.source, "age", h.age(&h.registry.tableCopy).String())
 }
 
 // decodeRegistrations decodes rows of the endpoint table. A malformed row is logged and names no endpoint: one that was registered
@@ -111,7 +111,7 @@
 	for _, row := range rows {
 		c, err := platform.DecodeRegistration(row)
 		if err != nil {
-			h.log.Warn("entry: unable to decode a registration", "row", row.Key, "revision", row.Revision, "error", err)
+			h.log.Warn("entry: unable to decode a registration", "row", row.Key, "revision", table.VersionOf(row.Revision), "error", err)
 			c = directory.Change{ID: strings.TrimPrefix(row.Key, platform.EndpointTable+"/"), Revision: row.Revision, Removed: true}
 		}
 		changes = append(changes, c)
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -56,7 +56,7 @@
 		if evacuated {
 			message = "entry: failure domain evacuated"
 		}
-		h.log.Info(message, "domain", domain, "revision", revision, "source", h.operatorSource, "age", age.String())
+		h.log.Info(message, "domain", domain, "revision", table.VersionOf(revision), "source", h.operatorSource, "age", age.String())
 	}
 	if changed {
 		h.publishEndpoints()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -173,7 +173,7 @@
 		}
 	}
 	if h.fleet.members[name] != m {
-		h.log.Info("entry: member added or changed", "name", name, "id", m.ID, "address", m.Address, "revision", row.Revision)
+		h.log.Info("entry: member added or changed", "name", name, "id", m.ID, "address", m.Address, "revision", table.VersionOf(row.Revision))
 	}
 	h.fleet.members[name] = m
 	h.fleet.revisions[name] = row.Revision
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -81,6 +81,7 @@
 		if lost {
 			maxWait = 0 // a call that waits could hang on a connection that broke with the store
 		}
+		whole = whole || table.EraOf(revision) < h.store.Era()
 		snapshot, err := h.fetchChanges(ctx, tableRead{table: f.name, whole: whole, after: revision, wait: maxWait}, directly, resumeAt)
 		select {
 		case <-h.tomb.Dying():
@@ -88,7 +89,7 @@
 		default:
 		}
 		if errors.Is(err, table.ErrCompacted) {
-			h.log.Warn("entry: history of the table was compacted, reading the whole table", "table", f.name, "revision", revision)
+			h.log.Warn("entry: history of the table was compacted, reading the whole table", "table", f.name, "revision", table.VersionOf(revision))
 			whole = true
 			directly = false
 			continue
@@ -96,7 +97,7 @@
 		if err != nil {
 			if !lost {
 				lost = true
-				h.log.Warn("entry: store does not respond", "table", f.name, "revision", revision, "error", err)
+				h.log.Warn("entry: store does not respond", "table", f.name, "revision", table.VersionOf(revision), "error", err)
 				callIfSet(f.onLost)
 			}
 			if !directly {
@@ -109,11 +110,11 @@
 		directly = false
 		if lost {
 			lost, pause = false, retryPause
-			h.log.Info("entry: store responds again", "table", f.name, "revision", snapshot.Revision)
+			h.log.Info("entry: store responds again", "table", f.name, "era", table.EraOf(snapshot.Revision), "revision", table.VersionOf(snapshot.Revision))
 			callIfSet(f.onRegained)
 		}
 		if snapshot.Revision < revision {
-			h.log.Warn("entry: store responded with an older revision", "table", f.name, "revision", revision, "answered", snapshot.Revision)
+			h.log.Warn("entry: store responded with an older revision", "table", f.name, "revision", table.VersionOf(revision), "answered", table.VersionOf(snapshot.Revision))
 			h.sleep(retryPause)
 			continue
 		}
@@ -240,7 +241,7 @@
 			continue
 		}
 		if err != nil {
-			h.log.Error("entry: unable to apply a configuration", "revision", row.Revision, "error", err)
+			h.log.Error("entry: unable to apply a configuration", "revision", table.VersionOf(row.Revision), "error", err)
 		} else {
 			h.activateConfiguration(c, row.Revision)
 		}
@@ -258,7 +259,7 @@
 	h.catalog.Store(c)
 	h.apply(dispatch.ConfigurationChanged{Catalog: c})
 	h.mu.Unlock()
-	h.log.Info("entry: configuration in force", "version", c.Version(), "revision", revision)
+	h.log.Info("entry: configuration in force", "version", c.Version(), "revision", table.VersionOf(revision))
 }
 
 // publishEndpoints passes the list of endpoints to the state machine. The caller holds the lock.
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -159,7 +159,7 @@
 	if poolLease.Holder() != before {
 		delete(h.fleet.unresponsiveSince, pool)
 		delete(h.fleet.namedHolders, pool)
-		h.log.Info("entry: lease holder changed", "pool", pool, "holder", poolLease.Holder(), "number", poolLease.FencingNumber(), "revision", row.Revision)
+		h.log.Info("entry: lease holder changed", "pool", pool, "holder", poolLease.Holder(), "number", poolLease.FencingNumber(), "revision", table.VersionOf(row.Revision))
 	}
 }
 
@@ -181,7 +181,7 @@
 	case err != nil:
 		h.log.Warn("entry: unable to write a lease", "pool", pool, "action", action.String(), "error", err)
 	case action == lease.Acquire:
-		h.log.Info("entry: lease acquisition", "pool", pool, "action", action.String(), "committed", result.Committed, "number", row.FencingNumber, "revision", result.Revision)
+		h.log.Info("entry: lease acquisition", "pool", pool, "action", action.String(), "committed", result.Committed, "number", row.FencingNumber, "revision", table.VersionOf(result.Revision))
 	}
 }
 
--- a/entry/keptevidence.go
+++ b/entry/keptevidence.go
@@ -103,7 +103,7 @@
 	var value quarantineRow
 	if !row.Deleted {
 		if err := json.Unmarshal(row.Value, &value); err != nil {
-			h.log.Warn("entry: unable to decode the evidence against prompt parts", "revision", row.Revision, "error", err)
+			h.log.Warn("entry: unable to decode the evidence against prompt parts", "revision", table.VersionOf(row.Revision), "error", err)
 			return
 		}
 	}
--- a/entry/relayread.go
+++ b/entry/relayread.go
@@ -42,6 +42,10 @@
 // Read reads from the store directly and, if it does not respond, directly and through other hosts at the same time. The
 // errors are table.ErrCompacted and table.ErrUnavailable.
 func (a *storeAccess) Read(ctx context.Context, r tableRead) (table.Snapshot, error) {
+	return a.checkSnapshot(a.read(ctx, r))
+}
+
+func (a *storeAccess) read(ctx context.Context, r tableRead) (table.Snapshot, error) {
 	directErr := error(table.ErrUnavailable)
 	if !a.Unreachable() {
 		snapshot, err := a.readReachable(ctx, r)
@@ -57,7 +61,7 @@
 // ReadDirectly reads from the store directly within the limit, as often as contactState allows. The errors are
 // table.ErrCompacted and table.ErrUnavailable.
 func (a *storeAccess) ReadDirectly(ctx context.Context, r tableRead, limit time.Duration) (table.Snapshot, error) {
-	return a.readAnyWay(ctx, r, limit, nil, nil, table.ErrUnavailable)
+	return a.checkSnapshot(a.readAnyWay(ctx, r, limit, nil, nil, table.ErrUnavailable))
 }
 
 // readReachable makes a direct call, which may wait at the store. It gives the call up when the store responds to another
@@ -104,7 +108,6 @@
 		}
 		return err
 	})
-	a.noteEra(snapshot.Era)
 	return snapshot, err
 }
 
@@ -197,7 +200,7 @@
 func (a *storeAccess) readThrough(ctx context.Context, client *peer.Client, host relayHost, r tableRead, wait time.Duration, results chan<- readResult) {
 	result := readResult{err: table.ErrUnavailable}
 	a.askHost(ctx, host, func() storeContact {
-		request := &peer.ReadRequest{Table: r.table, Whole: r.whole, After: r.after, Wait: int64(wait)}
+		request := &peer.ReadRequest{Table: r.table, Whole: r.whole, After: r.after, Wait: int64(wait), Eras: true}
 		response, err := client.Read(ctx, host.Target, a.self, request)
 		switch {
 		case err != nil:
@@ -221,6 +224,9 @@
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
 	err := error(table.ErrNotApplied)
+	if a.isOutdated(txn) {
+		return table.Result{}, errors.Annotate(err, "entry: conditions are from before the store was restored")
+	}
 	if a.allowDirect() {
 		var result table.Result
 		if result, err = a.commitDirect(ctx, txn); err == nil {
@@ -237,7 +243,7 @@
 		result, err = a.store.Commit(bounded, txn)
 		return err
 	})
-	a.noteEra(result.Era)
+	a.noteEra(result.Revision)
 	return result, err
 }
 
@@ -252,6 +258,9 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if a.isOutdated(txn) {
+			return table.Result{}, directErr
+		}
 		if !a.Unreachable() {
 			result, err := a.commitDirect(ctx, txn)
 			if err == nil {
@@ -270,6 +279,7 @@
 				return noContact
 			}
 			result = table.Result{Committed: response.GetCommitted(), Revision: response.GetRevision()}
+			a.noteEra(result.Revision)
 			return hasContact
 		})
 		if relayed {
--- a/entry/relayserve.go
+++ b/entry/relayserve.go
@@ -23,11 +23,18 @@
 // errUnknownTable is the response to a call for a table that is not known.
 var errUnknownTable = twirp.InvalidArgumentError("table", "is not known")
 
+// errRevisionsWithEras is the response to a host of an earlier version, which would take a revision with an era for a version of the
+// store and wait until the store reaches it.
+var errRevisionsWithEras = twirp.NewError(twirp.FailedPrecondition, "entry: revisions contain the era of the store")
+
 // readForHost reads from the store on behalf of a host without contact with it.
 func (h *Host) readForHost(ctx context.Context, r *peer.ReadRequest) (*peer.ReadResponse, error) {
 	if !knownTables[r.GetTable()] {
 		return nil, errUnknownTable
 	}
+	if !r.GetEras() {
+		return nil, errRevisionsWithEras
+	}
 	revision, _ := h.store.ConfigState()
 	noContactResponse := &peer.ReadResponse{Away: true, Revision: revision}
 	wait := min(max(time.Duration(r.GetWait()), 0), maxRelayWait)
@@ -48,8 +55,8 @@
 		snapshot, err = h.store.store.Follow(ctx, r.GetTable(), r.GetAfter(), wait)
 	}
 	h.store.countCall(readCall("proxied", r), err)
-	h.store.noteEra(snapshot.Era)
 	h.store.recordCall(startedAt, err)
+	snapshot, err = h.store.checkSnapshot(snapshot, err)
 	switch {
 	case errors.Is(err, table.ErrCompacted):
 		return &peer.ReadResponse{Compacted: true}, nil
@@ -69,6 +76,9 @@
 	if !knownTables[writeCall("proxied", txn).table] {
 		return nil, errUnknownTable
 	}
+	if h.store.isOutdated(txn) {
+		return &peer.WriteResponse{Revision: table.RevisionAt(h.store.Era(), 0)}, nil
+	}
 	if !h.store.allowDirect() {
 		return &peer.WriteResponse{Away: true}, nil
 	}
@@ -77,7 +87,7 @@
 	startedAt := h.Now()
 	result, err := h.store.store.Commit(ctx, txn)
 	h.store.countCall(writeCall("proxied", txn), err)
-	h.store.noteEra(result.Era)
+	h.store.noteEra(result.Revision)
 	h.store.recordCall(startedAt, err)
 	if errors.Is(err, table.ErrNotApplied) {
 		return &peer.WriteResponse{Away: true}, nil
--- a/entry/relayserve_test.go
+++ b/entry/relayserve_test.go
@@ -18,9 +18,9 @@
 // with ever other names.
 func TestRelayedReadOutOfRange(t *testing.T) {
 	for name, request := range map[string]*peer.ReadRequest{
-		"negative wait": {Table: platform.OperatorTable, Wait: math.MinInt64},
-		"unknown table": {Table: "none", Whole: true},
-		"empty table":   {Whole: true},
+		"negative wait": {Table: platform.OperatorTable, Wait: math.MinInt64, Eras: true},
+		"unknown table": {Table: "none", Whole: true, Eras: true},
+		"empty table":   {Whole: true, Eras: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, address := startStore(t)
@@ -46,3 +46,11 @@
 		qt.Check(t, lentTokens(asked, received), qt.Equals, want, qt.Commentf("%d", received))
 	}
 }
+
+// TestRelayedReadWithoutEras guards against a host of an earlier version that takes a revision with an era for a version of the store.
+func TestRelayedReadWithoutEras(t *testing.T) {
+	_, address := startStore(t)
+	h := New(config.Entry{Name: "self", Domain: "near", Store: address}, hclog.NewNullLogger())
+	_, err := (&peerService{h}).Read(t.Context(), &peer.ReadRequest{Table: platform.OperatorTable, Whole: true})
+	qt.Check(t, err, qt.ErrorMatches, ".*revisions contain the era.*")
+}
--- a/entry/storeaccess_test.go
+++ b/entry/storeaccess_test.go
@@ -277,7 +277,7 @@
 		t.Run(name, func(t *testing.T) {
 			store.Faults().Replace(fault.Faults{Refuse: test.down})
 			h.store.unreachable, h.store.lastProbe = true, h.Now()-test.since
-			read, err := h.readForHost(t.Context(), &peer.ReadRequest{Header: &peer.Header{From: "other"}, Table: leaseTable, Whole: true})
+			read, err := h.readForHost(t.Context(), &peer.ReadRequest{Header: &peer.Header{From: "other"}, Table: leaseTable, Whole: true, Eras: true})
 			qt.Check(t, err, qt.IsNil)
 			qt.Check(t, read.GetAway(), qt.Equals, test.noContact)
 			qt.Check(t, h.store.Unreachable(), qt.Equals, test.noContact)
--- a/entry/tablecopy.go
+++ b/entry/tablecopy.go
@@ -63,9 +63,9 @@
 }
 
 // changesAfter returns the changes for a host that knows the table up to a revision. It returns nil if this host's copy
-// was never confirmed, or if the other host has revision 0 and so must read the whole table from the store.
+// was never confirmed, or if the other host has revision 0 or one of another era and so must read the whole table from the store.
 func (c *tableCopy) changesAfter(after int64) *peer.Changes {
-	if c.currentClock == 0 || after == 0 {
+	if c.currentClock == 0 || table.EraOf(after) != table.EraOf(c.revision) || after == 0 {
 		return nil
 	}
 	var rows []table.Row
@@ -86,12 +86,18 @@
 	}
 }
 
+// forgetConfirmations makes the copy count as never confirmed.
+func (c *tableCopy) forgetConfirmations() {
+	c.currentClock, c.holderCurrentAt = 0, -c.validity
+}
+
 // mergeFromHolder merges a holder's changes, which were current at currentAt by the host's clock. It returns the new
 // rows, however old the changes are, and whether the copy now counts as current. A holder whose revision is older than that
 // of the copy has nothing new, but it follows the table: without counting that, a host and a holder whose calls to the
-// store end at the same moments would both follow it for good.
+// store end at the same moments would both follow it for good. Changes of another era of the store say nothing about rows that were lost
+// or replaced when it was restored.
 func (c *tableCopy) mergeFromHolder(now, currentAt time.Duration, changes *peer.Changes) (fresh []table.Row, current bool) {
-	if changes == nil {
+	if changes == nil || table.EraOf(changes.GetRevision()) != table.EraOf(c.revision) {
 		return nil, false
 	}
 	c.holderCurrentAt = max(c.holderCurrentAt, currentAt)
@@ -155,7 +161,7 @@
 	if c.source == source || source == deputySource && h.actsAsDeputy() {
 		return
 	}
-	h.log.Info("entry: source of table changes switched", "table", name, "source", source, "before", c.source, "revision", c.revision, "age", h.age(c).String())
+	h.log.Info("entry: source of table changes switched", "table", name, "source", source, "before", c.source, "revision", table.VersionOf(c.revision), "age", h.age(c).String())
 	c.source = source
 }
 
--- a/table/table.go
+++ b/table/table.go
@@ -20,7 +20,6 @@
 type Snapshot struct {
 	Rows     []Row
 	Revision int64
-	Era      int64 // how often the service was restored from a backup, as it counts it; zero if it does not report it
 	Clock    time.Duration
 }
 
@@ -49,7 +48,6 @@
 type Result struct {
 	Committed bool
 	Revision  int64
-	Era       int64 // as in Snapshot
 }
 
 // ErrNotApplied means that the transaction did not take effect and will not.
