entry: report no changes to hosts that know more than the lease holder knew before a gap

A lease holder whose history was compacted, or that has just started, reads a table whole. Of rows that were added and deleted since its last read it learns nothing, not even that they existed. A host that had read such a row from the store kept it: the holder's report named no change of it and confirmed the copy as current.

A copy now remembers the ranges of revisions that it skipped by a read of the whole table. A host whose revision is within one gets no changes from the holder and reads from the store itself.

TestCopyWithGap shows the case.

--- a/entry/tablecopy.go
+++ b/entry/tablecopy.go
@@ -18,11 +18,19 @@
 	validity        time.Duration        // how long after its confirmation time a holder's report replaces own calls to the store
 	rows            map[string]table.Row // includes deleted rows, as tombstones
 	revision        int64
+	gaps            []gap         // in ascending order
 	currentClock    time.Duration // the store's clock when the copy was last confirmed to be current; 0 before the first time
 	holderCurrentAt time.Duration // latest confirmation time reported by a holder, by the host's clock
 	source          string        // who confirmed the copy last: the id of a holder, storeSource or deputySource
 }
 
+// gap is a range of revisions that the copy skipped when the table was read whole. Rows that were added and deleted within it are not
+// known, not even as tombstones.
+type gap struct{ from, to int64 }
+
+// maxGaps bounds the gaps that a copy remembers. The oldest ones are merged into a larger one.
+const maxGaps = 8
+
 // Sources of a copy besides the ids of lease holders: the host reads the table from the store itself, or deputies report its
 // changes.
 const (
@@ -48,8 +56,26 @@
 	return fresh
 }
 
+// addGap records that the copy goes from its revision to a later one by a read of the whole table.
+func (c *tableCopy) addGap(revision int64) {
+	if revision <= c.revision {
+		return
+	}
+	c.gaps = append(c.gaps, gap{c.revision, revision})
+	if len(c.gaps) > maxGaps {
+		c.gaps[1].from = c.gaps[0].from
+		c.gaps = c.gaps[1:]
+	}
+}
+
+// isInGap reports whether a host that knows the table up to a revision may know rows that were deleted within a gap of this copy.
+func (c *tableCopy) isInGap(revision int64) bool {
+	return slices.ContainsFunc(c.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
 // replace merges the whole table: known rows that it lacks count as deleted. It returns the rows that are new.
 func (c *tableCopy) replace(rows []table.Row, revision int64) []table.Row {
+	c.addGap(revision)
 	present := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		present[row.Key] = true
@@ -63,9 +89,10 @@
 }
 
 // changesAfter returns the changes for a host that knows the table up to a revision. It returns nil if this host's copy
-// was never confirmed, or if the other host has revision 0 or one of another era and so must read the whole table from the store.
+// was never confirmed or has skipped changes after that revision, or if the other host has revision 0 or one of another era and so must
+// read from the store itself.
 func (c *tableCopy) changesAfter(after int64) *peer.Changes {
-	if c.currentClock == 0 || table.EraOf(after) != table.EraOf(c.revision) || after == 0 {
+	if c.currentClock == 0 || table.EraOf(after) != table.EraOf(c.revision) || after == 0 || c.isInGap(after) {
 		return nil
 	}
 	var rows []table.Row
--- a/entry/tablecopy_test.go
+++ b/entry/tablecopy_test.go
@@ -104,6 +104,28 @@
 	qt.Check(t, holder.changesAfter(3).GetRows(), qt.HasLen, 1)
 }
 
+// TestCopyWithGap guards against a host that keeps a row for good: the row was added and deleted while the holder knew neither, because
+// the history was compacted.
+func TestCopyWithGap(t *testing.T) {
+	for after, wantNil := range map[int64]bool{3: false, 5: false, 6: true, 8: true, 9: false, 10: false} {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			holder := newTableCopy(time.Second)
+			holder.merge(nil, 5)
+			holder.replace(nil, 9)
+			holder.confirm(time.Second)
+			qt.Check(t, holder.changesAfter(after) == nil, qt.Equals, wantNil)
+		})
+	}
+	holder := newTableCopy(time.Second)
+	for n := range int64(3 * maxGaps) {
+		holder.merge(nil, 20*n+10)
+		holder.replace(nil, 20*n+20)
+	}
+	holder.confirm(time.Second)
+	qt.Check(t, holder.gaps, qt.HasLen, maxGaps)
+	qt.Check(t, holder.changesAfter(15), qt.IsNil)
+}
+
 // TestCopyToldByOutdatedHolder guards against a host that makes no calls to the store because it relies on a lease
 // holder whose copy is outdated, whether the holder's response is late or the holder has received nothing new; and
 // against dropping the changes of such a holder.
