lease: hold and number leases across restorations of the store

Engines got orders from two hosts with one fencing number. The number of a lease was the row's number plus one. After the store had come back from a backup the row named an earlier holder again, so the next holder took a number that a lost holder had used. The row's old timestamp also let a host acquire the lease at once, while the holder that the store had forgotten could still act for 1.8 s.

A new holder's number is now above the revision of the table at which it read the row, and so above every number before it in any era. Rows say in which era their write was decided. A row of an earlier era, or an absent one once the store was restored, says nothing about the present holder: a holder that may act goes on until its last renewal runs out and writes its row again with its number, and all others wait as if the lease had been renewed just before they read the row. A write that was decided in one era and takes effect in another gives no right to act.

--- a/entry/deputy_test.go
+++ b/entry/deputy_test.go
@@ -36,7 +36,7 @@
 	h.fleet.members["zz-holder"] = member{ID: "holder", Address: "10.0.0.2:1"}
 	h.fleet.successions[testPool] = lease.NewSuccession(testPool, candidates)
 	h.fleet.client = peer.NewClient(&http.Client{}, "secret")
-	h.leaseOf(testPool).Observe(sinceBoot(), sinceBoot(), lease.Record{Holder: "holder", FencingNumber: 1}, 7, 0)
+	h.leaseOf(testPool).Observe(lease.Read{Started: sinceBoot(), Ended: sinceBoot(), Revision: 7}, lease.Record{Holder: "holder", FencingNumber: 1}, 7)
 	return h
 }
 
--- a/entry/era.go
+++ b/entry/era.go
@@ -63,6 +63,11 @@
 	for _, c := range []*tableCopy{&h.registry.tableCopy, &h.fleet.rows} {
 		c.forgetConfirmations()
 	}
+	for _, poolLease := range h.fleet.leases {
+		if poolLease.MayAct(sinceBoot()) {
+			poolLease.ForgetRow()
+		}
+	}
 	h.wakeFollowers()
 }
 
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -123,7 +123,7 @@
 		rows[strings.TrimPrefix(row.Key, leasePrefix)] = row
 	}
 	for _, pool := range h.enginePools() {
-		h.observeLease(pool, h.leaseOf(pool), rows[pool], startedAt, snapshot.Clock)
+		h.observeLease(pool, h.leaseOf(pool), rows[pool], lease.Read{Started: startedAt, Ended: sinceBoot(), Revision: snapshot.Revision, Clock: snapshot.Clock})
 	}
 }
 
@@ -147,7 +147,7 @@
 
 // observeLease passes a lease's row, zero if there is none, to its lease.RenewedLease and logs a change of the holder. The
 // caller holds the lock.
-func (h *Host) observeLease(pool string, poolLease *lease.RenewedLease, row table.Row, startedAt, clock time.Duration) {
+func (h *Host) observeLease(pool string, poolLease *lease.RenewedLease, row table.Row, read lease.Read) {
 	var content lease.Record
 	if row.Revision > 0 {
 		if err := json.Unmarshal(row.Value, &content); err != nil {
@@ -155,7 +155,7 @@
 		}
 	}
 	before := poolLease.Holder()
-	poolLease.Observe(startedAt, sinceBoot(), content, row.Revision, clock)
+	poolLease.Observe(read, content, row.Revision)
 	if poolLease.Holder() != before {
 		delete(h.fleet.unresponsiveSince, pool)
 		delete(h.fleet.namedHolders, pool)
--- a/entry/loadexchange_test.go
+++ b/entry/loadexchange_test.go
@@ -30,7 +30,7 @@
 			h.holdings[pool] = &holding{planner: residency.New(0, 0), loads: dispatch.NewLoadReports()}
 			began := sinceBoot() - test.age
 			poolLease := h.leaseOf(pool)
-			poolLease.Observe(began, began, lease.Record{}, 0, 0)
+			poolLease.Observe(lease.Read{Started: began, Ended: began}, lease.Record{}, 0)
 			_, row, _ := poolLease.NextWrite(began)
 			poolLease.RecordWrite(row, 1, true)
 			h.mu.Lock()
--- a/lease/renewed_test.go
+++ b/lease/renewed_test.go
@@ -55,7 +55,7 @@
 				started := now
 				now += time.Duration(rapid.IntRange(0, 300).Draw(t, "answer")) * time.Millisecond
 				sampled := started + time.Duration(rapid.IntRange(0, int((now-started)/time.Millisecond)).Draw(t, "sampled"))*time.Millisecond
-				l.Observe(started, now, row.content, row.revision, sampled-epoch)
+				l.Observe(lease.Read{Started: started, Ended: now, Revision: row.revision, Clock: sampled - epoch}, row.content, row.revision)
 			case 2, 3:
 				action, content, expected := l.NextWrite(now)
 				if action == lease.NoWrite {
@@ -110,21 +110,21 @@
 		want lease.Action
 	}{
 		"nothing read":   {func(*lease.RenewedLease) {}, read, lease.NoWrite},
-		"no holder":      {func(l *lease.RenewedLease) { l.Observe(read, read, lease.Record{}, 0, 0) }, read, lease.Acquire},
-		"held":           {func(l *lease.RenewedLease) { l.Observe(read, read, held, 7, 0) }, read + 4*time.Second, lease.NoWrite},
-		"not read again": {func(l *lease.RenewedLease) { l.Observe(read, read, held, 7, 0) }, read + time.Hour, lease.NoWrite},
+		"no holder":      {func(l *lease.RenewedLease) { l.Observe(lease.Read{Started: read, Ended: read}, lease.Record{}, 0) }, read, lease.Acquire},
+		"held":           {func(l *lease.RenewedLease) { l.Observe(lease.Read{Started: read, Ended: read, Revision: 7}, held, 7) }, read + 4*time.Second, lease.NoWrite},
+		"not read again": {func(l *lease.RenewedLease) { l.Observe(lease.Read{Started: read, Ended: read, Revision: 7}, held, 7) }, read + time.Hour, lease.NoWrite},
 		"unchanged for 6 s": {func(l *lease.RenewedLease) {
-			l.Observe(read, read, held, 7, 0)
-			l.Observe(read+6*time.Second, read+6*time.Second, held, 7, 0)
+			l.Observe(lease.Read{Started: read, Ended: read, Revision: 7}, held, 7)
+			l.Observe(lease.Read{Started: read + 6*time.Second, Ended: read + 6*time.Second, Revision: 7}, held, 7)
 		}, read + 6*time.Second, lease.Acquire},
 		"renewed": {func(l *lease.RenewedLease) {
-			l.Observe(read, read, held, 7, 0)
-			l.Observe(read+6*time.Second, read+6*time.Second, lease.Record{Holder: "b", FencingNumber: 4, Renewal: 10}, 8, 0)
+			l.Observe(lease.Read{Started: read, Ended: read, Revision: 7}, held, 7)
+			l.Observe(lease.Read{Started: read + 6*time.Second, Ended: read + 6*time.Second, Revision: 8}, lease.Record{Holder: "b", FencingNumber: 4, Renewal: 10}, 8)
 		}, read + 6*time.Second, lease.NoWrite},
 		"released": {func(l *lease.RenewedLease) {
 			free := lease.Record{Holder: "b", FencingNumber: 4, Renewal: 10, Released: true}
-			l.Observe(read, read, free, 8, 0)
-			l.Observe(read+renewalSettings.HandoverGap, read+renewalSettings.HandoverGap, free, 8, 0)
+			l.Observe(lease.Read{Started: read, Ended: read, Revision: 8}, free, 8)
+			l.Observe(lease.Read{Started: read + renewalSettings.HandoverGap, Ended: read + renewalSettings.HandoverGap, Revision: 8}, free, 8)
 		}, read + renewalSettings.HandoverGap, lease.Acquire},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -143,12 +143,12 @@
 // lost.
 func TestTermLostRenewal(t *testing.T) {
 	l := lease.NewRenewedLease(renewalSettings, "a")
-	l.Observe(0, 0, lease.Record{}, 0, 0)
+	l.Observe(lease.Read{Started: 0, Ended: 0}, lease.Record{}, 0)
 	_, row, _ := l.NextWrite(0)
 	l.RecordWrite(row, 1, true)
 	_, renewed, _ := l.NextWrite(time.Second)
 	l.RecordWrite(renewed, 0, false)
-	l.Observe(1500*time.Millisecond, 1500*time.Millisecond, renewed, 2, 0)
+	l.Observe(lease.Read{Started: 1500 * time.Millisecond, Ended: 1500 * time.Millisecond, Revision: 2}, renewed, 2)
 	qt.Check(t, l.MayAct(2500*time.Millisecond), qt.IsTrue)
 	qt.Check(t, l.MayAct(time.Second+renewalSettings.HoldDuration), qt.IsFalse)
 }
@@ -169,7 +169,7 @@
 			l := lease.NewRenewedLease(renewalSettings, "a")
 			const clock = time.Hour
 			row := lease.Record{Holder: "b", FencingNumber: 4, DecidedAt: (clock - test.age).Milliseconds()}
-			l.Observe(0, 10*time.Millisecond, row, 7, clock)
+			l.Observe(lease.Read{Started: 0, Ended: 10 * time.Millisecond, Revision: 7, Clock: clock}, row, 7)
 			action, _, _ := l.NextWrite(20 * time.Millisecond)
 			qt.Check(t, action, qt.Equals, test.want)
 		})
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -129,7 +129,7 @@
 			for now := time.Duration(0); acquiredAt < 0 && now < time.Minute; now += 50 * time.Millisecond {
 				for _, host := range up {
 					if now%(250*time.Millisecond) == 0 {
-						leases[host].Observe(now, now, test.row, test.revision, 0)
+						leases[host].Observe(lease.Read{Started: now, Ended: now, Revision: test.revision}, test.row, test.revision)
 					}
 					if action, _, _ := leases[host].NextWrite(now); action == lease.Acquire {
 						writes++
