entry: keep the newest configuration across restorations of the store

A host that started after the store had come back from a backup served the configuration of the backup: keys that had been withdrawn since were accepted, although all other hosts refused them. Running hosts never went back, because they ignore lower versions.

Hosts now hand the row of the configuration in force to each other. With a store that was never restored nothing is asked. If no host is left that knows the lost change, the backup's configuration is served until the operator has written again.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
 	"magnoliahoist/platform"
+	"magnoliahoist/table"
 )
 
 const (
@@ -50,6 +51,7 @@
 	registry  registry
 	// operatorSource is who reported the last change of the operator table: the id of a lease holder, deputySource or storeSource.
 	operatorSource string
+	configuration  table.Row                       // the configuration in force as it was read
 	inboxes        map[uint64]chan dispatch.Effect // by request number
 
 	fleet         fleet
--- a/entry/era.go
+++ b/entry/era.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/juju/errors"
 
 	"magnoliahoist/table"
@@ -69,6 +71,9 @@
 		}
 	}
 	h.wakeFollowers()
+	if c := h.catalog.Load(); c != nil {
+		h.spawn(func(ctx context.Context) { h.adoptNewerConfiguration(ctx, c.Version()) })
+	}
 }
 
 // wakeFollowers makes the host follow the tables itself at once. The caller holds the lock.
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -243,23 +243,27 @@
 		if err != nil {
 			h.log.Error("entry: unable to apply a configuration", "revision", table.VersionOf(row.Revision), "error", err)
 		} else {
-			h.activateConfiguration(c, row.Revision)
+			h.adoptBeforeStart(c.Version(), row.Revision)
+			h.activateConfiguration(c, row)
 		}
 		h.store.SetConfigRevision(row.Revision)
 	}
 }
 
 // activateConfiguration puts a configuration in force unless the same or a newer version is.
-func (h *Host) activateConfiguration(c *catalog.Catalog, revision int64) {
+func (h *Host) activateConfiguration(c *catalog.Catalog, row table.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	known := h.catalog.Load()
-	if known != nil && c.Version() <= known.Version() {
-		return
+	switch {
+	case known == nil || c.Version() > known.Version():
+		h.catalog.Store(c)
+		h.configuration = row
+		h.apply(dispatch.ConfigurationChanged{Catalog: c})
+		h.log.Info("entry: configuration in force", "version", c.Version(), "revision", table.VersionOf(row.Revision))
+	case c.Version() < known.Version():
+		h.log.Warn("entry: configuration is older than the one in force", "version", c.Version(), "revision", table.VersionOf(row.Revision), "kept", known.Version())
 	}
-	h.mu.Lock()
-	h.catalog.Store(c)
-	h.apply(dispatch.ConfigurationChanged{Catalog: c})
-	h.mu.Unlock()
-	h.log.Info("entry: configuration in force", "version", c.Version(), "revision", table.VersionOf(revision))
 }
 
 // publishEndpoints passes the list of endpoints to the state machine. The caller holds the lock.
--- a/host/peerservice.go
+++ b/host/peerservice.go
@@ -171,5 +171,10 @@
 	return nil, errUnimplemented
 }
 
+// Configuration is implemented only by hosts whose endpoints register themselves.
+func (s *peerService) Configuration(context.Context, *peer.ConfigurationRequest) (*peer.ConfigurationResponse, error) {
+	return nil, errUnimplemented
+}
+
 // errUnimplemented is returned for calls that only hosts whose endpoints register themselves implement.
 var errUnimplemented = twirp.NewError(twirp.Unimplemented, "host: endpoints are named by the pools table")
--- a/lease/renewed.go
+++ b/lease/renewed.go
@@ -28,9 +28,6 @@
 	Clock    time.Duration // of the table service, at the time of the read
 }
 
-// firstEra is the era of a table service that was never restored. Services that report no era have the era 0.
-const firstEra = 1
-
 // RenewalSettings are the durations of a lease that its holder renews.
 type RenewalSettings struct {
 	RenewInterval time.Duration // between two renewals
@@ -126,7 +123,7 @@
 // before the restoration and took effect after it. An absent row may have been lost.
 func isInherited(era int64, row Record, revision int64) bool {
 	if revision == 0 {
-		return era > firstEra
+		return era > table.FirstEra
 	}
 	return row.Era < era
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -154,6 +154,11 @@
 	return call(ctx, c, to, relayTimeout, Peer.Write, request)
 }
 
+// Configuration returns the configuration that the member has in force if it is newer than a version; a row without a key otherwise.
+func (c *Client) Configuration(ctx context.Context, to Target, from Sender, version int64) (*ConfigurationResponse, error) {
+	return call(ctx, c, to, queryTimeout, Peer.Configuration, &ConfigurationRequest{Header: header(to, from), Version: version})
+}
+
 // Timeline returns the member's events after a timestamp of the hybrid clock.
 func (c *Client) Timeline(ctx context.Context, to Target, from Sender, after int64) (*TimelineResponse, error) {
 	return call(ctx, c, to, queryTimeout, Peer.Timeline, &TimelineRequest{Header: header(to, from), After: after})
--- a/peer/server.go
+++ b/peer/server.go
@@ -80,6 +80,8 @@
 		reply = &r.Reply
 	case *TimelineResponse:
 		reply = &r.Reply
+	case *ConfigurationResponse:
+		reply = &r.Reply
 	default:
 		return twirp.InternalErrorf("peer: response of type %T has no reply", response)
 	}
--- a/system/platform_restore_test.go
+++ b/system/platform_restore_test.go
@@ -76,6 +76,31 @@
 	}
 }
 
+// TestRestoredConfigurationAtStart guards against a host that starts after the store has come back from a backup and serves a key that
+// was withdrawn since the backup, although the other hosts know of it.
+func TestRestoredConfigurationAtStart(t *testing.T) {
+	parallelFleet(t)
+	s := newSite(t, 3)
+	s.leaseHolder()
+	s.backUpStore()
+	s.putConfiguration("k2")
+	for n := range s.hosts {
+		s.eventually("the lost change is in force", func() bool {
+			return s.ask(siteRequest{host: n, path: "/stamp/1", key: "k1"}).status == http.StatusUnauthorized
+		})
+	}
+	s.restoreStore()
+	s.startHost("host3")
+	s.eventually("the host is ready", func() bool { return s.isReady(3) })
+	for start := time.Now(); time.Since(start) < 2*time.Second; time.Sleep(pollInterval) {
+		for key, want := range map[string]int{"k1": http.StatusUnauthorized, "k2": http.StatusOK} {
+			if got := s.ask(siteRequest{host: 3, path: "/stamp/1", key: key}).status; got != want {
+				t.Fatalf("key %s: status %d, want %d, %s after the host was ready", key, got, want, time.Since(start).Round(time.Millisecond))
+			}
+		}
+	}
+}
+
 // checkFencingNumbers fails the test if two hosts have sent orders to any engine with the same fencing number, or if an engine
 // received a lower number after a higher one.
 func (s *site) checkFencingNumbers() (holders int) {
--- a/table/revision.go
+++ b/table/revision.go
@@ -8,6 +8,8 @@
 const versionBits = 40
 
 const (
+	// FirstEra is the era of a table service that was never restored. A service that reports no era counts as one of era 0.
+	FirstEra = 1
 	// MaxVersion is the highest version that a revision can contain.
 	MaxVersion = 1<<versionBits - 1
 	// MaxEra is the highest era that a revision can contain.
