directory: keep leaving endpoints across restorations of the registry

An endpoint that had announced that it leaves got new requests after the store had come back from a backup that still called it ready, until it wrote its registration again. A process that was leaving when the registry was restored now counts as leaving for good, as one that has said so in a response does.

TestRestored fails without the change; the case was found in reading, not seen in a run.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// SetRestored records that the registry has come back from a backup. Registrations that it has lost lapse, so that endpoints which
+// still run have time to register again, and a process that was leaving stays so although the backup may call it ready.
+func (d *Directory) SetRestored(now time.Duration) {
+	d.unreachable, d.reachableSince = false, now
+	for _, e := range d.endpoints {
+		if e.Leaving {
+			d.MarkLeaving(now, e)
+		}
+	}
+}
+
 // Apply applies changes to registrations in their order. now is the time at which they were received.
 func (d *Directory) Apply(now time.Duration, changes []Change) {
 	for _, c := range changes {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// TestRestored guards against requests to an endpoint that has announced that it leaves and that the backup of a restored registry calls
+// ready, and against dropping endpoints that the backup does not have yet.
+func TestRestored(t *testing.T) {
+	d := directory.New()
+	leaving := directory.Endpoint{ID: "a", Address: "10.0.0.1:80", StartedAt: 7, Leaving: true}
+	d.Apply(time.Minute, []directory.Change{{ID: "a", Endpoint: leaving}, registered("b")})
+	d.SetRestored(2 * time.Minute)
+	ready := leaving
+	ready.Leaving = false
+	d.Apply(2*time.Minute, []directory.Change{{ID: "a", Endpoint: ready}, removed("b")})
+	got, _ := d.Endpoint("a")
+	qt.Check(t, got.Leaving, qt.IsTrue)
+	qt.Check(t, ids(d), qt.DeepEquals, []string{"a", "b"})
+	ready.StartedAt = 8
+	d.Apply(2*time.Minute, []directory.Change{{ID: "a", Endpoint: ready}})
+	got, _ = d.Endpoint("a")
+	qt.Check(t, got.Leaving, qt.IsFalse)
+	qt.Check(t, d.RemoveLapsed(2*time.Minute+2*time.Second), qt.IsTrue)
+	qt.Check(t, ids(d), qt.DeepEquals, []string{"a"})
+}
+
 // TestMarkLeaving guards against an endpoint that is taken to be ready although its process has said in a response that it leaves,
 // and against a later process that inherits that.
 func TestMarkLeaving(t *testing.T) {
--- a/entry/era.go
+++ b/entry/era.go
@@ -60,8 +60,7 @@
 	h.log.Warn("entry: store was restored from a backup", "era", era, "before", before)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.directory.SetUnreachable() // endpoints whose registration was lost keep it until they have written it again
-	h.directory.SetReachable(h.Now())
+	h.directory.SetRestored(h.Now())
 	for _, c := range []*tableCopy{&h.registry.tableCopy, &h.fleet.rows} {
 		c.forgetConfirmations()
 	}
