soak: restore the store from backups

Up to three restorations a trial, from copies 0.5 to 8 s old, overlapping with each other and with all other faults; a fifth of the plans have one restoration, two hosts that are killed around it and a key that is withdrawn after it, so that no other fault excuses a host that learns of the withdrawal late. The operator writes the newest configuration again.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -35,6 +35,8 @@
 	faultyOperations = 20 // operations that one failure affects
 	// restTime is the time for which an endpoint asks for no requests.
 	restTime = 2 * time.Second
+	// storeAbsence is how long the store is away before it comes back from a copy.
+	storeAbsence = 700 * time.Millisecond
 	// stopMargin is added to the grace period because the machine is shared.
 	stopMargin = 3 * time.Second
 )
@@ -195,12 +197,26 @@
 	d.violations = append(d.violations, fmt.Sprintf(format, values...))
 }
 
-// configure writes the next version of the configuration, and repeats the write until a read of the store returns that version.
+// configure writes the next version of the configuration.
 func (d *deployment) configure() {
 	d.configuring.Lock()
 	defer d.configuring.Unlock()
 	d.mu.Lock()
 	d.configVersion++
+	d.mu.Unlock()
+	d.writeConfiguration()
+}
+
+// rewriteConfiguration writes the newest version of the configuration again, which a restored store may have lost.
+func (d *deployment) rewriteConfiguration() {
+	d.configuring.Lock()
+	defer d.configuring.Unlock()
+	d.writeConfiguration()
+}
+
+// writeConfiguration writes the newest version of the configuration until a read of the store returns it. The caller holds configuring.
+func (d *deployment) writeConfiguration() {
+	d.mu.Lock()
 	c := fakeplatform.Configuration(d.configVersion, d.keys...)
 	d.mu.Unlock()
 	for _, r := range c["routes"].([]any) {
@@ -311,6 +327,11 @@
 		d.post(d.endpoints[a.Endpoint].process, "/leave")
 		time.Sleep(s.For)
 		d.post(d.endpoints[a.Endpoint].process, "/restart")
+	case soak.RestoreStore:
+		d.post(d.store, "/backup")
+		time.Sleep(s.For)
+		d.post(d.store, fmt.Sprintf("/restore?absence=%s", storeAbsence))
+		d.rewriteConfiguration()
 	case soak.Withdraw:
 		d.withdrawKey()
 	case soak.Reconfigure:
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -72,6 +72,10 @@
 // LeaveEndpoint has an endpoint announce that it leaves; at the end of the step it starts again under the same ID.
 type LeaveEndpoint struct{ Endpoint int }
 
+// RestoreStore makes the store come back from a copy that it makes when the step begins. The operator then writes the newest
+// configuration again.
+type RestoreStore struct{}
+
 // Withdraw removes an API key from the configuration.
 type Withdraw struct{}
 
@@ -86,6 +90,7 @@
 func (Disturb) isAct()       {}
 func (Isolate) isAct()       {}
 func (FailStore) isAct()     {}
+func (RestoreStore) isAct()  {}
 func (FailEndpoint) isAct()  {}
 func (LeaveEndpoint) isAct() {}
 func (Withdraw) isAct()      {}
@@ -142,6 +147,13 @@
 	// At most maxRests endpoints ask for rest in a trial; each refuses for restDuration.
 	maxRests     = 2
 	restDuration = time.Second
+	// The store is restored at most maxRestorations times in a trial, from a copy that is minBackupAge to maxBackupAge old.
+	maxRestorations = 3
+	minBackupAge    = 500 * time.Millisecond
+	maxBackupAge    = 8 * time.Second
+	// restorationOnlyProbability is the probability that a plan has only one restoration and two killed hosts: other faults would
+	// excuse a host that learns of changes late.
+	restorationOnlyProbability = 0.2
 	// silentStoreProbability is the probability that one host loses contact with the store around an endpoint's leaving, beginning
 	// silentStoreLead before it.
 	silentStoreProbability = 0.5
@@ -161,6 +173,10 @@
 		start := randomDuration(0, time.Second)
 		return []Step{{At: start, For: isolationDuration, Act: Isolate{}}, {At: start + randomDuration(time.Second/2, time.Second), Act: Withdraw{}}}
 	}
+	restorations, restorationOnly := drawRestorations(seed, sizes, length)
+	if restorationOnly {
+		return sortByTime(restorations)
+	}
 	steps := []Step{{At: randomDuration(length/8, length/2), Act: Withdraw{}}}
 	leaves, leavesOnly := drawLeaves(seed, sizes, length)
 	if leavesOnly {
@@ -169,7 +185,33 @@
 	for range minSteps + r.IntN(maxSteps-minSteps+1) {
 		steps = append(steps, Step{At: randomDuration(0, length), For: randomDuration(minFaultDuration, maxFaultDuration), Act: drawAct(r, sizes)})
 	}
-	return sortByTime(append(append(steps, leaves...), drawRests(seed, sizes, length)...))
+	steps = append(append(steps, leaves...), drawRests(seed, sizes, length)...)
+	return sortByTime(append(steps, restorations...))
+}
+
+// drawRestorations draws the restorations of the store, which may overlap; only is true when the plan has no other faults besides
+// two killed hosts, one of which may have become the lease holder after the backup. It has its own random source, like drawLeaves.
+func drawRestorations(seed uint64, sizes Sizes, length time.Duration) (steps []Step, only bool) {
+	r := rand.New(rand.NewPCG(seed, 4))
+	between := func(shortest, longest time.Duration) time.Duration {
+		return (shortest + time.Duration(r.Int64N(int64(longest-shortest)))).Round(time.Millisecond)
+	}
+	if r.Float64() < restorationOnlyProbability {
+		backup, age := between(0, length/4), between(maxBackupAge/2, maxBackupAge)
+		restored := backup + age
+		first := r.IntN(sizes.Hosts)
+		second := (first + 1 + r.IntN(sizes.Hosts-1)) % sizes.Hosts
+		return []Step{
+			{At: backup, For: age, Act: RestoreStore{}},
+			{At: backup + between(0, time.Second/2), For: maxFaultDuration, Act: KillHost{first}},
+			{At: restored - between(time.Second/10, time.Second/2), For: maxFaultDuration, Act: KillHost{second}},
+			{At: restored + between(time.Second, 2*time.Second), Act: Withdraw{}},
+		}, true
+	}
+	for range r.IntN(maxRestorations + 1) {
+		steps = append(steps, Step{At: between(0, length), For: between(minBackupAge, maxBackupAge), Act: RestoreStore{}})
+	}
+	return steps, false
 }
 
 // drawRests draws the endpoints that ask for rest. It has its own random source, like drawLeaves.
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -46,10 +46,10 @@
 		found := false
 		for _, s := range soak.NewPlan(seed, usualSizes, planLength) {
 			switch s.Act.(type) {
-			case soak.Isolate, soak.LeaveEndpoint:
+			case soak.Isolate, soak.LeaveEndpoint, soak.RestoreStore:
 				found = true
 			}
 		}
-		qt.Check(t, found, qt.IsTrue, qt.Commentf("%s, seed %d: the plan has no Isolate or LeaveEndpoint step", cause, seed))
+		qt.Check(t, found, qt.IsTrue, qt.Commentf("%s, seed %d: the plan has no Isolate, LeaveEndpoint or RestoreStore step", cause, seed))
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,6 +45,7 @@
 var regressionSeeds = map[string]uint64{
 	"keys relied on after a response that did not confirm the configuration":    300,
 	"endpoint used after it left, because a stale host reported it":             21,
+	"changes not in force after the store has come back from a backup":          46009,
 	"keys relied on because unconfirmed hosts agreed on the state of the store": 2016,
 }
 
