system: reproduce streams joined from two software versions

Engines of two versions may serve side by side, and a stream may go on only at the version that began it. Engines of the stand-in have a software version, which each event names; callers can take up a stream with Last-Event-Id and Resumes.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -117,7 +117,7 @@
 // reportAttempt logs and counts the end of an attempt and reports it to the state machine.
 func (h *Host) reportAttempt(t *task, result dispatch.AttemptFinished, cause error) {
 	if result.Outcome != dispatch.Done {
-		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.lastSend.Attempt, "endpoint", t.lastSend.Endpoint.ID,
+		h.log.Info("entry: attempt failed", "request", t.request.ID, "attempt", t.lastSend.Attempt, "endpoint", t.lastSend.Endpoint.ID, "software", t.lastSend.Endpoint.Software,
 			"outcome", result.Outcome.String(), "took", result.TimeToFirstByte.String(), "begun", t.headWritten, "started", t.responseStarted, "parts", t.request.DescribeParts(), "error", cause)
 	}
 	h.metrics.attempts.WithLabelValues(result.Outcome.String()).Inc()
@@ -281,7 +281,7 @@
 	t.writeHead(response)
 	h.metrics.responses.WithLabelValues("stream").Inc()
 	h.log.Info("entry: streamed", "request", t.request.ID, "status", response.StatusCode, "account", t.lastSend.Account, "work", t.request.Describe(),
-		"endpoint", t.lastSend.Endpoint.ID, "attempt", t.lastSend.Attempt, "parts", t.request.DescribeParts(), "after", (h.Now() - t.arrived).String(), "last", t.lastEventID, "estimate", t.lastSend.EstimatedWait.String(), "first", t.firstEventTime.String(),
+		"endpoint", t.lastSend.Endpoint.ID, "software", t.lastSend.Endpoint.Software, "attempt", t.lastSend.Attempt, "parts", t.request.DescribeParts(), "after", (h.Now() - t.arrived).String(), "last", t.lastEventID, "estimate", t.lastSend.EstimatedWait.String(), "first", t.firstEventTime.String(),
 		"urgency", t.lastSend.Urgency, "waited", (t.sentAt - t.arrived).String(), "sending", t.sendingTime.String())
 	return true
 }
--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -34,6 +34,7 @@
 	store             *testProcess
 	links             []*link // from each host to the store
 	hosts             []*testProcess
+	hostFiles         []string // settings of the hosts
 	callerAddresses   []string // addresses of the hosts for callers
 	readyAddresses    []string // addresses of the hosts for readiness checks
 	operatorAddresses []string // addresses of the hosts for operators
@@ -90,12 +91,16 @@
 
 // startEngineIn starts an engine that holds some models in a failure domain.
 func (s *site) startEngineIn(domain string, models ...string) {
+	s.t.Helper()
+	s.startEngineWith(fakeplatform.Settings{Zone: domain, Models: models, Downtime: document.Duration(engineDowntime)})
+}
+
+// startEngineWith starts an engine with settings that only lack what all engines have in common.
+func (s *site) startEngineWith(settings fakeplatform.Settings) {
 	s.t.Helper()
 	n := len(s.engines)
-	s.engines = append(s.engines, startPlatformStandin(s.t, fmt.Sprint("engine", n), "endpoint", fakeplatform.Settings{
-		ID: fmt.Sprint("e", n), Service: "llm", Zone: domain, Store: s.store.address(), Slots: 64, Models: models, MaxModels: 3, MaxAdapters: 2,
-		Downtime: document.Duration(engineDowntime),
-	}))
+	settings.ID, settings.Service, settings.Store, settings.Slots, settings.MaxModels, settings.MaxAdapters = fmt.Sprint("e", n), "llm", s.store.address(), 64, 3, 2
+	s.engines = append(s.engines, startPlatformStandin(s.t, fmt.Sprint("engine", n), "endpoint", settings))
 }
 
 // startHost starts an entry host with a link to the store.
@@ -111,12 +116,19 @@
 	qt.Assert(s.t, err, qt.IsNil)
 	file := filepath.Join(s.t.TempDir(), name+".json")
 	qt.Assert(s.t, os.WriteFile(file, settings, 0o600), qt.IsNil)
+	s.hostFiles = append(s.hostFiles, file)
 	s.hosts = append(s.hosts, startProcess(s.t, name, "entry", "--config", file))
 	s.callerAddresses = append(s.callerAddresses, callers)
 	s.readyAddresses = append(s.readyAddresses, ready)
 	s.operatorAddresses = append(s.operatorAddresses, operators)
 }
 
+// restartHost starts a host that has ended once more.
+func (s *site) restartHost(n int) {
+	s.t.Helper()
+	s.hosts[n] = startProcess(s.t, fmt.Sprint("host", n), "entry", "--config", s.hostFiles[n])
+}
+
 func (s *site) isReady(n int) bool {
 	response, err := s.client.Get("http://" + s.readyAddresses[n] + "/ready")
 	if err != nil {
@@ -164,6 +176,13 @@
 	tokens string
 	parts  string
 	body   string
+	resume resumption
+}
+
+// resumption says which stream a request takes up; the zero value none.
+type resumption struct {
+	of    string // ID of the request that brought the first event
+	after string // ID of the last event that was received
 }
 
 // siteResponse is the response that a caller received; complete reports whether its body arrived completely.
@@ -185,6 +204,7 @@
 	}
 	request, err := fakeplatform.Request{
 		ID: id, Host: "h", Path: a.path, Key: a.key, Model: a.model, Tokens: tokens, Parts: a.parts, CallerTimeout: 5 * time.Second, Body: a.body,
+		LastEventID: a.resume.after, Resumes: a.resume.of,
 	}.HTTPRequest(s.callerAddresses[a.host])
 	qt.Assert(s.t, err, qt.IsNil)
 	response, err := s.client.Do(request)
