dispatch: resume a stream only at the software version that began it

Callers received responses that joined events from engines of two software versions: an engine broke off, and the host resumed the stream at an engine of the other version, because nothing read the version of the registrations.

A request is bound to the version of the endpoint that sent its first event, as it was registered when the attempt was sent. Endpoints of other versions are no candidates for its later attempts, also when an adapter was loaded for it meanwhile.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -33,7 +33,7 @@
 
 // explainEndpoints counts the endpoints of the request's pool by the reason why they were not chosen.
 func (s *State) explainEndpoints(now time.Duration, r *request) string {
-	var leaving, evacuated, tried, withoutModel, ejected, cold, fullOrLate int
+	var leaving, evacuated, tried, otherVersion, withoutModel, ejected, cold, fullOrLate int
 	g, isGeneration := r.arrival.Request.Work.(intake.Generation)
 	for _, ep := range r.pool.endpoints {
 		switch {
@@ -43,6 +43,8 @@
 			evacuated++
 		case r.tried(ep.ID):
 			tried++
+		case !r.fits(ep):
+			otherVersion++
 		case isGeneration && !ep.servesModel(now, g.Model):
 			withoutModel++
 		case now < ep.ejectedUntil:
@@ -53,6 +55,6 @@
 			fullOrLate++
 		}
 	}
-	return fmt.Sprintf("endpoints %d, leaving %d, evacuated %d, tried %d, without the model %d, ejected %d, cold %d, full or too late %d, adapters orderable %t",
-		len(r.pool.endpoints), leaving, evacuated, tried, withoutModel, ejected, cold, fullOrLate, r.pool.canOrderAdapters)
+	return fmt.Sprintf("endpoints %d, leaving %d, evacuated %d, tried %d, of another version %d, without the model %d, ejected %d, cold %d, full or too late %d, adapters orderable %t",
+		len(r.pool.endpoints), leaving, evacuated, tried, otherVersion, withoutModel, ejected, cold, fullOrLate, r.pool.canOrderAdapters)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -70,6 +70,8 @@
 	partIDs         []uint64          // of the parts of a generation's prompt, in their order; nil for calls
 	trials          []quarantine.Part // suspected parts that the running attempt tries
 	coldCounted     bool              // the running attempt is counted as a request to a cold endpoint
+	sentTo          string            // software version of the endpoint of the running attempt when it was chosen
+	version         softwareVersion   // of the endpoints that may serve the request
 }
 
 // level returns the request's urgency level unless it is expected to be late.
@@ -277,7 +279,7 @@
 		if s.refuseBlocked(now, r) {
 			continue
 		}
-		if e.Loaded && ep != nil && ep.available(now) && !s.heldBack(now, ep) && !s.awaitsTrial(now, r) {
+		if e.Loaded && ep != nil && ep.available(now) && r.fits(ep) && !s.heldBack(now, ep) && !s.awaitsTrial(now, r) {
 			s.sendAttempt(now, r)
 			continue
 		}
@@ -306,7 +308,7 @@
 	ep := r.choice.endpoint
 	r.phase = attemptRunning
 	r.attempts++
-	r.startedAt, r.responseStarted = now, false
+	r.startedAt, r.responseStarted, r.sentTo = now, false, ep.Software
 	r.coldCounted = false
 	s.takeColdShare(now, r)
 	if !r.tried(ep.ID) {
@@ -356,6 +358,7 @@
 		return
 	}
 	r.responseStarted = true
+	r.bindVersion()
 	s.noteAnswer(now, r)
 	r.choice.endpoint.endPrefill(now, r.choice.level, r.choice.uncached)
 	measurePrefill(r, now-r.startedAt)
