origin, entry: take up a stream only at the software version that began it

Callers whose streams had broken off took them up again, and the rest came from engines of another software version, with status 200 and nothing to show it: at the same host, at another one, and after all hosts were killed. Hosts neither read the header Resumes nor remembered which version had begun a stream.

A host now records the version of each resumable stream before it passes the first event on. A request whose stream's version is known is bound to it from the start and refused at once if it has no endpoint; one whose version could be any of several is refused. With one version in service nothing is written, and read once after a start.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
+	"magnoliahoist/origin"
 	"magnoliahoist/quarantine"
 	"magnoliahoist/queue"
 	"magnoliahoist/speed"
@@ -49,6 +50,7 @@
 	candidates     []candidate                // scratch space of chooseEngine
 	hostHash       uint64
 	warmup         warmupState
+	versions       *origin.Service
 	stopping       bool          // the host has begun to stop
 	endsAt         time.Duration // when the host ends its requests, if it is stopping
 	effects        []Effect
@@ -79,6 +81,7 @@
 		trials:    map[quarantine.Part]uint64{},
 		restUntil: map[string]time.Duration{},
 		warmup:    newWarmupState(),
+		versions:  origin.NewService(),
 	}
 }
 
@@ -121,6 +124,8 @@
 		s.handleLoadsReported(now, e)
 	case EvidenceChanged:
 		s.applyEvidence(now, e.Evidence)
+	case VersionsRecalled:
+		s.versions.Recall(now, e.Sightings)
 	case EndpointResting:
 		s.handleEndpointResting(now, e)
 	case EndpointCold:
@@ -198,8 +203,9 @@
 	for _, p := range s.pools {
 		p.endpoints = p.endpoints[:0]
 	}
-	registered := make(map[string]bool, len(list))
+	registered, versions := make(map[string]bool, len(list)), map[origin.Version]bool{}
 	for _, e := range list {
+		versions[origin.Version{Pool: e.Pool, Software: e.Software}] = true
 		registered[e.ID] = true
 		p := s.poolByName(e.Pool)
 		ep := p.byID[e.ID]
@@ -221,6 +227,7 @@
 			}
 		}
 	}
+	s.versions.Observe(now, versions)
 	s.warmup.following = true
 	s.dispatchAllQueued(now)
 }
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -9,6 +9,7 @@
 	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
 	"magnoliahoist/intake"
+	"magnoliahoist/origin"
 	"magnoliahoist/quarantine"
 	"magnoliahoist/speed"
 )
@@ -21,8 +22,19 @@
 	Number  uint64 // unique within the process
 	Request *intake.Request
 	CutOff  bool // the host has not reached the store for so long that keys may have been withdrawn meanwhile
+	Origin  Origin
 }
 
+// Origin says what is known of the version that began the stream that a request takes up.
+type Origin struct {
+	Known    bool
+	Version  origin.Version // if it is known
+	Recalled bool           // the versions that were in service before this process started are known
+}
+
+// VersionsRecalled says which software versions were in service before this process started.
+type VersionsRecalled struct{ Sightings []origin.Sighting }
+
 // ResponseStarted says that an endpoint has begun to respond to the running attempt of a request.
 type ResponseStarted struct{ Number uint64 }
 
@@ -200,3 +212,4 @@
 func (AdapterOrdersChanged) isEvent() {}
 func (EvidenceChanged) isEvent()      {}
 func (EndpointResting) isEvent()      {}
+func (VersionsRecalled) isEvent()     {}
--- a/dispatch/reason.go
+++ b/dispatch/reason.go
@@ -7,19 +7,21 @@
 
 // Reasons of refusals.
 const (
-	NotReady      Reason = iota // not ready
-	UnknownRoute                // unknown route
-	UnknownKey                  // unknown key
-	RateLimited                 // rate limited
-	NoEndpoint                  // no endpoint
-	NoModel                     // no endpoint with the model
-	Overloaded                  // overloaded
-	TimedOut                    // timed out
-	Rejected                    // rejected by the endpoint
-	AttemptFailed               // attempt failed
-	CutOff                      // host is cut off
-	Quarantined                 // part of the prompt crashes engines
-	Stopping                    // host is stopping
+	NotReady       Reason = iota // not ready
+	UnknownRoute                 // unknown route
+	UnknownKey                   // unknown key
+	RateLimited                  // rate limited
+	NoEndpoint                   // no endpoint
+	NoModel                      // no endpoint with the model
+	Overloaded                   // overloaded
+	TimedOut                     // timed out
+	Rejected                     // rejected by the endpoint
+	AttemptFailed                // attempt failed
+	CutOff                       // host is cut off
+	Quarantined                  // part of the prompt crashes engines
+	Stopping                     // host is stopping
+	NoVersion                    // no endpoint of the stream's software version
+	UnknownVersion               // software version of the stream is unknown
 )
 
 // Ran says whether a refused request was executed.
--- a/dispatch/reason_string.go
+++ b/dispatch/reason_string.go
@@ -21,11 +21,13 @@
 	_ = x[CutOff-10]
 	_ = x[Quarantined-11]
 	_ = x[Stopping-12]
+	_ = x[NoVersion-13]
+	_ = x[UnknownVersion-14]
 }
 
-const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut offpart of the prompt crashes engineshost is stopping"
+const _Reason_name = "not readyunknown routeunknown keyrate limitedno endpointno endpoint with the modeloverloadedtimed outrejected by the endpointattempt failedhost is cut offpart of the prompt crashes engineshost is stoppingno endpoint of the stream's software versionsoftware version of the stream is unknown"
 
-var _Reason_index = [...]uint8{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154, 188, 204}
+var _Reason_index = [...]uint16{0, 9, 22, 33, 45, 56, 82, 92, 101, 125, 139, 154, 188, 204, 248, 289}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -153,6 +153,9 @@
 		return nil, NoEndpoint
 	}
 	r.pool = s.poolByName(poolName)
+	if reason, possible := s.bindOrigin(now, r); !possible {
+		return nil, reason
+	}
 	r.partIDs = partIDsOf(a.Request.Work)
 	r.deadline = now + timeLimit(a.Request.CallerTimeout, route.Timeout)
 	if s.outlives(r.deadline) {
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -1,5 +1,13 @@
 package dispatch
 
+import (
+	"slices"
+	"time"
+
+	"magnoliahoist/catalog"
+	"magnoliahoist/origin"
+)
+
 // What endpoints of two software versions write does not fit together: a stream may go on only at the version that began it.
 
 // softwareVersion is the software version whose endpoints may serve a request.
@@ -17,3 +25,29 @@
 		r.version = softwareVersion{bound: true, name: r.sentTo}
 	}
 }
+
+// bindOrigin binds a request that takes up a stream to the version and the pool that began it. It reports false with the reason if that
+// version has no endpoint, or if the stream could be of several.
+func (s *State) bindOrigin(now time.Duration, r *request) (Reason, bool) {
+	if r.arrival.Request.Resumption.LastEventID == "" || !r.route.Stream || !r.route.Resumable {
+		return 0, true
+	}
+	known := r.arrival.Origin
+	version := known.Version
+	if !known.Known {
+		only, found := s.versions.Only(now, r.pool.spec.Name)
+		if !found || !known.Recalled {
+			return UnknownVersion, false
+		}
+		version = only
+	}
+	if !slices.ContainsFunc(r.route.Pools, func(p catalog.WeightedPool) bool { return p.Pool == version.Pool }) {
+		return NoVersion, false
+	}
+	r.pool = s.poolByName(version.Pool)
+	r.version = softwareVersion{bound: true, name: version.Software}
+	return NoVersion, slices.ContainsFunc(r.pool.endpoints, func(ep *endpoint) bool { return ep.TakesRequests() && r.fits(ep) })
+}
+
+// MixedVersions returns the software versions of the pools that had several in service lately.
+func (s *State) MixedVersions(now time.Duration) []origin.Sighting { return s.versions.Mixed(now) }
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -5,8 +5,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"magnoliahoist/catalog"
 	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
+	"magnoliahoist/intake"
+	"magnoliahoist/origin"
 )
 
 // versionedEndpoints returns engines with the given software versions that hold the model m.
@@ -69,3 +72,48 @@
 	qt.Assert(t, sent, qt.IsTrue)
 	qt.Check(t, send.Endpoint.ID, qt.Equals, "e2")
 }
+
+// TestVersionOfResumption guards against a stream that a caller takes up and that goes on at another software version, because the version
+// is not known or has no endpoint, and against refusing it although there was only one version.
+func TestVersionOfResumption(t *testing.T) {
+	llm := func(software string) origin.Version { return origin.Version{Pool: engines, Software: software} }
+	for name, test := range map[string]struct {
+		path     string
+		versions []string // of the engines
+		recalled []origin.Sighting
+		origin   dispatch.Origin
+		want     string // version; empty if the request is refused
+		reason   dispatch.Reason
+	}{
+		"known":                       {"/free/1", []string{"v2", "v2", "v1", "v2"}, nil, dispatch.Origin{Known: true, Version: llm("v1")}, "v1", 0},
+		"known, no endpoint":          {"/free/1", []string{"v2"}, nil, dispatch.Origin{Known: true, Version: llm("v1"), Recalled: true}, "", dispatch.NoVersion},
+		"known, other pool":           {"/free/1", []string{"v1"}, nil, dispatch.Origin{Known: true, Version: origin.Version{Pool: "none", Software: "v1"}}, "", dispatch.NoVersion},
+		"unknown, one version":        {"/free/1", []string{"v1"}, nil, dispatch.Origin{Recalled: true}, "v1", 0},
+		"unknown, two versions":       {"/free/1", []string{"v1", "v2"}, nil, dispatch.Origin{Recalled: true}, "", dispatch.UnknownVersion},
+		"unknown, other has left":     {"/free/1", []string{"v2"}, []origin.Sighting{{Version: llm("v1"), Age: 1}}, dispatch.Origin{Recalled: true}, "", dispatch.UnknownVersion},
+		"unknown, nothing recalled":   {"/free/1", []string{"v1"}, nil, dispatch.Origin{}, "", dispatch.UnknownVersion},
+		"route without resumption":    {"/draft/1", []string{"v1"}, nil, dispatch.Origin{}, "v1", 0},
+		"unknown, other pool changed": {"/free/1", []string{"v1"}, []origin.Sighting{{Version: origin.Version{Pool: services, Software: "v9"}}}, dispatch.Origin{Recalled: true}, "v1", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.now += 2 * origin.Retention // the engines of the harness are forgotten
+			h.apply(dispatch.EndpointsChanged{Endpoints: versionedEndpoints(test.versions...)})
+			h.now += 2 * origin.Retention
+			h.apply(dispatch.VersionsRecalled{Sightings: test.recalled})
+			request := &intake.Request{
+				ID: "r", Host: "h", Path: test.path, Key: catalog.DigestOf(apiKey), HasKey: true, Work: generation(""), Resumption: intake.Resumption{LastEventID: "3", RequestID: "first"},
+			}
+			effects := h.apply(dispatch.RequestArrived{Number: 1000, Request: request, Origin: test.origin})
+			if send, sent := findSend(effects); sent {
+				qt.Check(t, send.Endpoint.Software, qt.Equals, test.want)
+				return
+			}
+			refuse, refused := findRefusal(effects)
+			qt.Assert(t, refused, qt.IsTrue)
+			qt.Check(t, test.want, qt.Equals, "")
+			qt.Check(t, refuse.Reason, qt.Equals, test.reason)
+			qt.Check(t, refuse.Ran, qt.Equals, dispatch.RanNo)
+		})
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -211,6 +211,7 @@
 				reported = true
 				t.responseStarted = true
 				t.firstEventTime = h.Now() - t.sentAt
+				h.noteOrigin(t)
 				h.metrics.observeFirstEvent(t.firstEventTime, t.lastSend.EstimatedWait)
 				h.Apply(dispatch.ResponseStarted{Number: t.number})
 			}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"magnoliahoist/connection"
 	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
+	"magnoliahoist/origin"
 	"magnoliahoist/platform"
 	"magnoliahoist/table"
 )
@@ -51,6 +52,7 @@
 	registry  registry
 	// operatorSource is who reported the last change of the operator table: the id of a lease holder, deputySource or storeSource.
 	operatorSource string
+	origins        origins
 	configuration  table.Row                       // the configuration in force as it was read
 	inboxes        map[uint64]chan dispatch.Effect // by request number
 
@@ -111,6 +113,7 @@
 		}),
 	}
 	h.operatorSource = storeSource
+	h.origins.ledger = origin.NewLedger()
 	h.stopSignal = newStopSignal()
 	h.registry.tableCopy = newTableCopy(fractionOf(settings.DrainLimit, endpointValidityFraction))
 	h.engines = platform.NewEngineClient(h.connections, settings.Name, h.heedNotice)
--- /dev/null
+++ b/entry/origins_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"magnoliahoist/config"
+	"magnoliahoist/directory"
+	"magnoliahoist/dispatch"
+	"magnoliahoist/intake"
+	"magnoliahoist/origin"
+	"magnoliahoist/platform/fakeplatform"
+)
+
+// newOriginHost returns a host that knows engines of two software versions, v1 and v2.
+func newOriginHost(name, store string) *Host {
+	h := New(config.Entry{Name: name, Domain: "near", Store: store}, hclog.NewNullLogger())
+	h.createdAt -= time.Hour // so that its first write is due
+	h.fleet.members[name] = h.fleet.self
+	h.setVersions("v1", "v2")
+	return h
+}
+
+// setVersions registers an engine of each version.
+func (h *Host) setVersions(versions ...string) {
+	var list []directory.Endpoint
+	for n, version := range versions {
+		list = append(list, directory.Endpoint{ID: fmt.Sprint("e", n), Pool: "llm", Software: version})
+	}
+	h.Apply(dispatch.EndpointsChanged{Endpoints: list})
+}
+
+// begin records that a version has begun a stream.
+func (h *Host) begin(id, software string) {
+	t := &task{request: &intake.Request{ID: id}}
+	t.lastSend.Route.Resumable = true
+	t.lastSend.Endpoint = directory.Endpoint{Pool: "llm", Software: software}
+	h.noteOrigin(t)
+}
+
+// TestOriginsOfOtherHosts guards against a host that doesn't learn which version began a stream at another host, or at the process before
+// it under its own name, and against a row that a new process overwrites.
+func TestOriginsOfOtherHosts(t *testing.T) {
+	_, store := startStore(t)
+	first := newOriginHost("a", store)
+	first.begin("s1", "v1")
+	first.keepOrigins(t.Context())
+	for _, name := range []string{"a", "b"} {
+		next := newOriginHost(name, store)
+		next.origins.recalled = false
+		next.begin("s-"+name, "v2")
+		next.keepOrigins(t.Context())
+	}
+	reader := newOriginHost("c", store)
+	reader.readOrigins(reader.Now())
+	for id, want := range map[string]string{"s1": "v1", "s-a": "v2", "s-b": "v2"} {
+		known, certain := reader.knownOrigin(origin.KeyOf(id))
+		qt.Check(t, certain, qt.IsTrue, qt.Commentf("%s", id))
+		qt.Check(t, known.Version, qt.Equals, origin.Version{Pool: "llm", Software: want})
+	}
+	_, certain := reader.knownOrigin(origin.KeyOf("other"))
+	qt.Check(t, certain, qt.IsFalse)
+}
+
+// TestOriginsAfterRestart guards against a host that takes a stream for one of the only version that it has seen, because the other
+// version has left before the host started.
+func TestOriginsAfterRestart(t *testing.T) {
+	standin, store := startStore(t)
+	before := newOriginHost("a", store)
+	before.keepOrigins(t.Context())
+	before.setVersions("v2")
+	before.origins.writtenAt = 0
+	before.keepOrigins(t.Context())
+
+	after := New(config.Entry{Name: "a", Domain: "near", Store: store}, hclog.NewNullLogger())
+	after.setVersions("v2")
+	known, certain := after.knownOrigin(origin.KeyOf("s1"))
+	qt.Check(t, known.Recalled, qt.IsFalse)
+	qt.Check(t, certain, qt.IsFalse)
+	after.readOrigins(after.Now())
+	known, certain = after.knownOrigin(origin.KeyOf("s1"))
+	qt.Check(t, known.Recalled, qt.IsTrue)
+	qt.Check(t, certain, qt.IsFalse)
+	qt.Check(t, after.state.MixedVersions(after.Now()), qt.HasLen, 2)
+
+	standin.Put(streamTable, "b", []byte("no JSON"))
+	after.readOrigins(after.Now())
+	qt.Check(t, after.state.MixedVersions(after.Now()), qt.HasLen, 2)
+}
+
+// TestOriginsWithoutMixture guards against calls to the store while all endpoints have one version.
+func TestOriginsWithoutMixture(t *testing.T) {
+	_, store := startStore(t)
+	h := newOriginHost("a", store)
+	h.setVersions("v1")
+	h.createdAt -= time.Hour // the other version is forgotten
+	h.begin("s1", "v1")
+	h.keepOrigins(t.Context())
+	qt.Check(t, h.origins.writtenAt, qt.Equals, time.Duration(0))
+	row, err := fakeplatform.ReadRow(http.DefaultClient, store, streamTable, "a")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, row.Version, qt.Equals, int64(0))
+}
--- a/entry/relayserve.go
+++ b/entry/relayserve.go
@@ -18,7 +18,7 @@
 
 // knownTables are the tables of the store that hosts use. Calls for others are refused: a faulty host could make up names without end,
 // which the metrics would keep, and the store's refusal would count as a loss of contact.
-var knownTables = map[string]bool{platform.OperatorTable: true, platform.EndpointTable: true, fleetTable: true, leaseTable: true}
+var knownTables = map[string]bool{platform.OperatorTable: true, platform.EndpointTable: true, fleetTable: true, leaseTable: true, streamTable: true}
 
 // errUnknownTable is the response to a call for a table that is not known.
 var errUnknownTable = twirp.InvalidArgumentError("table", "is not known")
--- a/entry/request.go
+++ b/entry/request.go
@@ -80,7 +80,9 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	defer context.AfterFunc(h.stopSignal.ending, func() { cancel(errStopping) })()
-	t.effects, t.deadline = h.openRequest(h.arrival(t))
+	arrival := h.arrival(t)
+	arrival.Origin = h.originOf(ctx, t)
+	t.effects, t.deadline = h.openRequest(arrival)
 	defer h.closeRequest(t.number)
 	if t.deadline > 0 {
 		timer := time.AfterFunc(t.deadline-h.Now(), func() { cancel(errExpired) })
--- a/entry/server.go
+++ b/entry/server.go
@@ -164,6 +164,7 @@
 	h.tomb.Go(func() error { return h.runEvery(removalInterval, h.removeSilentMembers) })
 	h.tomb.Go(func() error { return h.runEvery(planInterval, h.readLeases) })
 	h.tomb.Go(h.runLoadExchange)
+	h.tomb.Go(func() error { return h.runEvery(planInterval, h.keepOrigins) })
 	h.tomb.Go(func() error {
 		return h.runEvery(sweepInterval, func(ctx context.Context) {
 			h.sweep(ctx)
--- a/intake/request.go
+++ b/intake/request.go
@@ -28,7 +28,6 @@
 	MaxOutputTokens int64        // most tokens to generate
 	OutputEstimate  int64        // tokens that the caller expects to be generated; 0 if it states none
 	PromptParts     []PromptPart // in their order
-	LastEventID     string       // id of the last event that the caller received, to resume a stream after it; or empty
 }
 
 // ServiceCall is a call of a plain service.
@@ -39,6 +38,12 @@
 func (Generation) isWork()  {}
 func (ServiceCall) isWork() {}
 
+// Resumption says which stream a request takes up. The zero value stands for none.
+type Resumption struct {
+	LastEventID string // ID of the last event that the caller received
+	RequestID   string // of the request that brought the stream's first event; empty if the caller doesn't say
+}
+
 // Request is a caller's request after decoding.
 type Request struct {
 	ID            string
@@ -48,6 +53,7 @@
 	HasKey        bool
 	CallerTimeout time.Duration // how long the caller waits for the response; 0 if it doesn't say
 	Work          Work
+	Resumption    Resumption
 	HTTPRequest   *http.Request // as it arrived
 	Body          [][]byte      // in pieces
 }
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,97 @@
+package origin_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"magnoliahoist/origin"
+)
+
+var (
+	old   = origin.Version{Pool: "llm", Software: "v1"}
+	newer = origin.Version{Pool: "llm", Software: "v2"}
+	other = origin.Version{Pool: "app", Software: "v1"}
+)
+
+// TestLedger guards against streams that are forgotten while their callers may take them up, and against a ledger that grows without end.
+func TestLedger(t *testing.T) {
+	l := origin.NewLedger()
+	l.Begin(0, origin.KeyOf("a"), old)
+	l.Learn(time.Second, origin.KeyOf("a"), newer, false)
+	l.Learn(time.Second, origin.KeyOf("b"), newer, false)
+	l.Learn(time.Second, origin.KeyOf("c"), newer, true)
+	got, known := l.Find(origin.KeyOf("a"))
+	qt.Check(t, known, qt.IsTrue)
+	qt.Check(t, got, qt.Equals, old)
+	qt.Check(t, l.Own(time.Second, 10), qt.DeepEquals, map[origin.Version][]origin.Key{old: {origin.KeyOf("a")}, newer: {origin.KeyOf("c")}})
+	qt.Check(t, l.Own(time.Second, 1), qt.DeepEquals, map[origin.Version][]origin.Key{newer: {origin.KeyOf("c")}})
+	qt.Check(t, l.Added(), qt.Equals, 1)
+	l.Begin(origin.Retention+500*time.Millisecond, origin.KeyOf("d"), old)
+	_, known = l.Find(origin.KeyOf("a"))
+	qt.Check(t, known, qt.IsFalse)
+	_, known = l.Find(origin.KeyOf("b"))
+	qt.Check(t, known, qt.IsTrue)
+	for n := range 30000 {
+		l.Begin(2*origin.Retention, origin.KeyOf(fmt.Sprint(n)), old)
+	}
+	qt.Check(t, l.Own(2*origin.Retention, 1<<20)[old], qt.HasLen, 20000)
+	_, known = l.Find(origin.KeyOf("29999"))
+	qt.Check(t, known, qt.IsTrue)
+}
+
+// TestService guards against a pool that counts as having one version although streams of another one may still be taken up, also after
+// a restart of the process.
+func TestService(t *testing.T) {
+	const now = time.Hour
+	for name, test := range map[string]struct {
+		play func(s *origin.Service)
+		only bool
+	}{
+		"one version": {func(s *origin.Service) { s.Observe(now, map[origin.Version]bool{old: true, other: true}) }, true},
+		"two versions": {func(s *origin.Service) {
+			s.Observe(now, map[origin.Version]bool{old: true, newer: true})
+		}, false},
+		"other version has just left": {func(s *origin.Service) {
+			s.Observe(now-time.Hour, map[origin.Version]bool{old: true, newer: true})
+			s.Observe(now-origin.Retention, map[origin.Version]bool{newer: true})
+		}, false},
+		"other version left long ago": {func(s *origin.Service) {
+			s.Observe(now-time.Hour, map[origin.Version]bool{old: true, newer: true})
+			s.Observe(now-origin.Retention-1, map[origin.Version]bool{newer: true})
+		}, true},
+		"other version came back": {func(s *origin.Service) {
+			s.Observe(now-time.Hour, map[origin.Version]bool{old: true, newer: true})
+			s.Observe(now-time.Minute, map[origin.Version]bool{newer: true})
+			s.Observe(now, map[origin.Version]bool{old: true})
+		}, false},
+		"recalled after a restart": {func(s *origin.Service) {
+			s.Observe(now, map[origin.Version]bool{newer: true})
+			s.Recall(now, []origin.Sighting{{Version: old, Age: 20 * time.Second}})
+		}, false},
+		"recalled too late": {func(s *origin.Service) {
+			s.Observe(now, map[origin.Version]bool{newer: true})
+			s.Recall(now, []origin.Sighting{{Version: old, Age: 2 * origin.Retention}})
+		}, true},
+		"recalled and present": {func(s *origin.Service) {
+			s.Observe(now, map[origin.Version]bool{newer: true})
+			s.Recall(now, []origin.Sighting{{Version: newer, Age: 20 * time.Second}})
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := origin.NewService()
+			test.play(s)
+			_, only := s.Only(now, "llm")
+			qt.Check(t, only, qt.Equals, test.only)
+			mixed := 0
+			for _, seen := range s.Mixed(now) {
+				if seen.Version.Pool == "llm" {
+					mixed++
+				}
+			}
+			qt.Check(t, mixed >= 2, qt.Equals, !test.only)
+		})
+	}
+}
