--- a/system/platform_restore_test.go
+++ b/system/platform_restore_test.go
@@ -41,11 +41,17 @@
 // TestRestoredConfiguration guards against a change that is not in force in time after the store has come back from a backup, and
 // against a withdrawn key that is accepted again because the backup still has it.
 func TestRestoredConfiguration(t *testing.T) {
-	for name, rewritten := range map[string]bool{"lost change written again": true, "only a newer change": false} {
+	for name, test := range map[string]struct{ rewritten, cut, twice bool }{
+		"lost change written again":    {rewritten: true},
+		"only a newer change":          {},
+		"one host without the store":   {rewritten: true, cut: true},
+		"restored again at once":       {rewritten: true, twice: true},
+		"both, only the newest change": {cut: true, twice: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			parallelFleet(t)
 			s := newSite(t, 3)
-			s.leaseHolder()
+			holder := s.leaseHolder()
 			s.backUpStore()
 			s.putConfiguration("k2")
 			for n := range s.hosts {
@@ -54,8 +60,14 @@
 				})
 			}
 			time.Sleep(6 * time.Second) // the store's versions advance by the renewals of the lease
+			if test.cut {
+				s.links[(holder+1)%3].cutBoth()
+			}
 			s.restoreStore()
-			if rewritten {
+			if test.twice {
+				s.restoreStore()
+			}
+			if test.rewritten {
 				s.rewriteConfiguration("k2")
 			}
 			time.Sleep(300 * time.Millisecond)
