entry: write the versions of streams again after a restoration of the store

The store may have lost a host's row, and the host wrote it again only with the next stream. Found in reading; TestOriginsAfterRestoration fails without the change.

--- a/entry/era.go
+++ b/entry/era.go
@@ -78,6 +78,7 @@
 	for _, c := range []*tableCopy{&h.registry.tableCopy, &h.fleet.rows} {
 		c.forgetConfirmations()
 	}
+	h.origins.written = rowLost
 	for _, poolLease := range h.fleet.leases {
 		if poolLease.MayAct(sinceBoot()) {
 			poolLease.ForgetRow()
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -40,12 +40,15 @@
 	streamRowExpiry = 10 * origin.Retention
 )
 
+// rowLost stands for the number of written streams when the store may have lost the row.
+const rowLost = -1
+
 // origins is what this host knows of the versions that began streams. The host's lock guards all but reading and readAt.
 type origins struct {
 	ledger    *origin.Ledger
 	recalled  bool          // the rows were read since this process started
 	writtenAt time.Duration // start of the last write of the row
-	written   int           // streams of the ledger at that time
+	written   int           // streams of the ledger at that time, or rowLost
 	versions  int           // sightings at that time
 	writing   bool
 
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -93,6 +93,23 @@
 	qt.Check(t, after.state.MixedVersions(after.Now()), qt.HasLen, 2)
 }
 
+// TestOriginsAfterRestoration guards against streams that no other host can take up, because the store has lost the row of their host.
+func TestOriginsAfterRestoration(t *testing.T) {
+	standin, store := startStore(t)
+	backup := standin.Backup()
+	h := newOriginHost("a", store)
+	h.begin("s1", "v1")
+	h.keepOrigins(t.Context())
+	standin.Restore(backup, 0)
+	reader := newOriginHost("b", store)
+	h.readOrigins(h.Now())
+	h.origins.writtenAt = h.Now() - streamRefreshInterval/2
+	h.keepOrigins(t.Context())
+	reader.readOrigins(reader.Now())
+	_, certain := reader.knownOrigin(origin.KeyOf("s1"))
+	qt.Check(t, certain, qt.IsTrue)
+}
+
 // TestOriginsWithoutMixture guards against calls to the store while all endpoints have one version.
 func TestOriginsWithoutMixture(t *testing.T) {
 	_, store := startStore(t)
