--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -67,7 +67,7 @@
 func (s *State) chooseService(now time.Duration, p *pool, r *request) (choice, Reason) {
 	best, reason := choice{}, NoEndpoint
 	for _, ep := range p.endpoints {
-		if !ep.TakesRequests() || r.tried(ep.ID) || !r.fits(ep) {
+		if !r.mayUse(ep) || r.tried(ep.ID) {
 			continue
 		}
 		if ep.resting(now) || s.heldBack(now, ep) {
@@ -121,7 +121,7 @@
 	seed := mixBits(r.arrival.Number ^ s.hostHash)
 	isTrial := s.isSuspected(now, r)
 	for _, ep := range p.endpoints {
-		if !ep.TakesRequests() || r.tried(ep.ID) || !r.fits(ep) || !ep.servesModel(now, g.Model) {
+		if !r.mayUse(ep) || r.tried(ep.ID) || !ep.servesModel(now, g.Model) {
 			continue
 		}
 		if now < ep.ejectedUntil || ep.resting(now) || s.heldBack(now, ep) {
--- a/dispatch/rest.go
+++ b/dispatch/rest.go
@@ -28,7 +28,7 @@
 func (s *State) allResting(now time.Duration, r *request) (shortest, retryAfter time.Duration) {
 	g, isGeneration := r.arrival.Request.Work.(intake.Generation)
 	for _, ep := range r.pool.endpoints {
-		if !ep.TakesRequests() || !r.fits(ep) || isGeneration && !ep.servesModel(now, g.Model) {
+		if !r.mayUse(ep) || isGeneration && !ep.servesModel(now, g.Model) {
 			continue
 		}
 		wait, retry := s.coldWait(now, ep)
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -19,6 +19,9 @@
 // fits reports whether an endpoint has a version that may serve the request.
 func (r *request) fits(ep *endpoint) bool { return !r.version.bound || ep.Software == r.version.name }
 
+// mayUse reports whether a request may go to an endpoint, apart from its state: it takes requests and has a version that fits.
+func (r *request) mayUse(ep *endpoint) bool { return ep.TakesRequests() && r.fits(ep) }
+
 // bindVersion binds a stream to the version of the endpoint that sent its first event.
 func (r *request) bindVersion() {
 	if r.route.Stream && !r.version.bound {
@@ -46,7 +49,7 @@
 	}
 	r.pool = s.poolByName(version.Pool)
 	r.version = softwareVersion{bound: true, name: version.Software}
-	return NoVersion, slices.ContainsFunc(r.pool.endpoints, func(ep *endpoint) bool { return ep.TakesRequests() && r.fits(ep) })
+	return NoVersion, slices.ContainsFunc(r.pool.endpoints, r.mayUse)
 }
 
 // MixedVersions returns the software versions of the pools that had several in service lately.
--- a/entry/era.go
+++ b/entry/era.go
@@ -8,8 +8,9 @@
 	"magnoliahoist/table"
 )
 
-// noteEra records the era of a revision in a response of the store. The era rises when the store comes back from a backup.
-func (a *storeAccess) noteEra(revision int64) {
+// noteEra records the era of a revision in a response of the store, and returns the newest known one. The era rises when the store comes
+// back from a backup.
+func (a *storeAccess) noteEra(revision int64) int64 {
 	era := table.EraOf(revision)
 	a.mu.Lock()
 	known := a.era
@@ -25,6 +26,7 @@
 	if known > 0 && era > known {
 		a.onRestored(known, era)
 	}
+	return max(known, era)
 }
 
 // Era returns the newest known era of the store; 0 if the store has not reported one.
@@ -49,8 +51,7 @@
 	if err != nil {
 		return snapshot, err
 	}
-	a.noteEra(snapshot.Revision)
-	if era := a.Era(); table.EraOf(snapshot.Revision) < era {
+	if era := a.noteEra(snapshot.Revision); table.EraOf(snapshot.Revision) < era {
 		return table.Snapshot{}, errors.Annotatef(table.ErrUnavailable, "entry: store responded in era %d, which ended before era %d", table.EraOf(snapshot.Revision), era)
 	}
 	return snapshot, nil
--- a/entry/newerconfiguration.go
+++ b/entry/newerconfiguration.go
@@ -36,16 +36,17 @@
 		}()
 	}
 	for range targets {
-		row := <-responses
-		if row == nil {
+		message := <-responses
+		if message == nil {
 			continue
 		}
-		c, found, err := platform.DecodeConfiguration(table.Row{Key: row.GetKey(), Value: row.GetValue()})
+		row := peer.RowsFromMessages([]*peer.Row{message})[0]
+		c, found, err := platform.DecodeConfiguration(row)
 		if !found || err != nil {
 			h.log.Warn("entry: unable to decode the configuration of another host", "error", err)
 			continue
 		}
-		h.activateConfiguration(c, table.Row{Key: row.GetKey(), Value: row.GetValue(), Revision: row.GetRevision()})
+		h.activateConfiguration(c, row)
 	}
 }
 
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -50,7 +50,6 @@
 	writtenAt time.Duration // start of the last write of the row
 	written   int           // streams of the ledger at that time, or rowLost
 	versions  int           // sightings at that time
-	writing   bool
 
 	reading sync.Mutex    // held by the one read of the rows
 	readAt  time.Duration // start of the last read; guarded by reading
@@ -83,29 +82,30 @@
 
 // originOf returns what is known of the version that began the stream that a request takes up. It reads the rows of the hosts if the
 // stream could be of several versions.
-func (h *Host) originOf(ctx context.Context, t *task) dispatch.Origin {
-	if t.request.Resumption.LastEventID == "" {
+func (h *Host) originOf(ctx context.Context, arrival dispatch.RequestArrived) dispatch.Origin {
+	stream := arrival.Request.Resumption
+	if stream.LastEventID == "" {
 		return dispatch.Origin{}
 	}
 	h.mu.Lock()
-	_, refused := h.state.RefusalByHeader(h.Now(), h.arrival(t))
+	_, refused := h.state.RefusalByHeader(h.Now(), arrival)
 	h.mu.Unlock()
 	if refused {
 		return dispatch.Origin{}
 	}
-	key, startedAt := origin.KeyOf(t.request.Resumption.RequestID), h.Now()
+	key, startedAt := origin.KeyOf(stream.RequestID), h.Now()
 	known, certain := h.knownOrigin(key)
 	if !certain {
 		h.readOrigins(startedAt)
 		known, certain = h.knownOrigin(key)
 	}
-	if !certain && ctx.Err() == nil && t.request.Resumption.RequestID != "" {
+	if !certain && ctx.Err() == nil && stream.RequestID != "" {
 		h.sleep(min(h.streamWriteInterval(), maxStreamWait)) // the host that served the stream may not have written its row yet
 		h.readOrigins(h.Now())
 		known, certain = h.knownOrigin(key)
 	}
 	if !certain {
-		h.log.Info("entry: software version of a stream is unknown", "request", t.request.ID, "resumes", t.request.Resumption.RequestID)
+		h.log.Info("entry: software version of a stream is unknown", "request", arrival.Request.ID, "resumes", stream.RequestID)
 	}
 	return known
 }
@@ -185,18 +185,12 @@
 	mixed := h.state.MixedVersions(now)
 	o := &h.origins
 	changed := o.ledger.Added() != o.written || len(mixed) != o.versions || now-o.writtenAt >= streamRefreshInterval
-	due := len(mixed) > 0 && changed && now-o.writtenAt >= interval && !o.writing
+	due := len(mixed) > 0 && changed && now-o.writtenAt >= interval
 	recalled := o.recalled
-	o.writing = o.writing || due
 	h.mu.Unlock()
 	if !due {
 		return
 	}
-	defer func() {
-		h.mu.Lock()
-		o.writing = false
-		h.mu.Unlock()
-	}()
 	if !recalled {
 		h.readOrigins(now) // the row of an earlier process of this host must not be lost
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -81,7 +81,7 @@
 	defer cancel(nil)
 	defer context.AfterFunc(h.stopSignal.ending, func() { cancel(errStopping) })()
 	arrival := h.arrival(t)
-	arrival.Origin = h.originOf(ctx, t)
+	arrival.Origin = h.originOf(ctx, arrival)
 	t.effects, t.deadline = h.openRequest(arrival)
 	defer h.closeRequest(t.number)
 	if t.deadline > 0 {
--- a/origin/service.go
+++ b/origin/service.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -44,8 +45,8 @@
 	}
 }
 
-// Sightings returns the versions that were in service within Retention, in the order of their names.
-func (s *Service) Sightings(now time.Duration) []Sighting {
+// recent returns the versions that were in service within Retention.
+func (s *Service) recent(now time.Duration) []Sighting {
 	var list []Sighting
 	for v := range s.present {
 		list = append(list, Sighting{Version: v})
@@ -55,31 +56,28 @@
 			list = append(list, Sighting{Version: v, Age: now - at})
 		}
 	}
-	slices.SortFunc(list, func(a, b Sighting) int {
-		return strings.Compare(a.Version.Pool+"\x00"+a.Version.Software, b.Version.Pool+"\x00"+b.Version.Software)
-	})
 	return list
 }
 
 // Only returns the version of a pool if no other one was in service within Retention.
 func (s *Service) Only(now time.Duration, pool string) (Version, bool) {
-	var only Version
-	count := 0
-	for _, seen := range s.Sightings(now) {
-		if seen.Version.Pool == pool {
-			only = seen.Version
-			count++
-		}
+	list := slices.DeleteFunc(s.recent(now), func(seen Sighting) bool { return seen.Version.Pool != pool })
+	if len(list) != 1 {
+		return Version{}, false
 	}
-	return only, count == 1
+	return list[0].Version, true
 }
 
-// Mixed returns the sightings of the pools that had several versions in service within Retention.
+// Mixed returns the sightings of the pools that had several versions in service within Retention, in the order of their names.
 func (s *Service) Mixed(now time.Duration) []Sighting {
-	sightings := s.Sightings(now)
+	list := s.recent(now)
 	count := map[string]int{}
-	for _, seen := range sightings {
+	for _, seen := range list {
 		count[seen.Version.Pool]++
 	}
-	return slices.DeleteFunc(sightings, func(seen Sighting) bool { return count[seen.Version.Pool] < 2 })
+	list = slices.DeleteFunc(list, func(seen Sighting) bool { return count[seen.Version.Pool] < 2 })
+	slices.SortFunc(list, func(a, b Sighting) int {
+		return cmp.Or(strings.Compare(a.Version.Pool, b.Version.Pool), strings.Compare(a.Version.Software, b.Version.Software))
+	})
+	return list
 }
