--- a/soak/plan.go
+++ b/soak/plan.go
@@ -166,24 +166,21 @@
 // NewPlan draws the steps of a trial, sorted by their start. They begin within the given length, may overlap, and include the withdrawal of one key.
 func NewPlan(seed uint64, sizes Sizes, length time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, 1))
-	randomDuration := func(shortest, longest time.Duration) time.Duration {
-		return (shortest + time.Duration(r.Int64N(int64(longest-shortest)))).Round(time.Millisecond)
-	}
 	if r.Float64() < isolationProbability {
-		start := randomDuration(0, time.Second)
-		return []Step{{At: start, For: isolationDuration, Act: Isolate{}}, {At: start + randomDuration(time.Second/2, time.Second), Act: Withdraw{}}}
+		start := randomDuration(r, 0, time.Second)
+		return []Step{{At: start, For: isolationDuration, Act: Isolate{}}, {At: start + randomDuration(r, time.Second/2, time.Second), Act: Withdraw{}}}
 	}
 	restorations, restorationOnly := drawRestorations(seed, sizes, length)
 	if restorationOnly {
 		return sortByTime(restorations)
 	}
-	steps := []Step{{At: randomDuration(length/8, length/2), Act: Withdraw{}}}
+	steps := []Step{{At: randomDuration(r, length/8, length/2), Act: Withdraw{}}}
 	leaves, leavesOnly := drawLeaves(seed, sizes, length)
 	if leavesOnly {
 		return sortByTime(append(steps, leaves...))
 	}
 	for range minSteps + r.IntN(maxSteps-minSteps+1) {
-		steps = append(steps, Step{At: randomDuration(0, length), For: randomDuration(minFaultDuration, maxFaultDuration), Act: drawAct(r, sizes)})
+		steps = append(steps, Step{At: randomDuration(r, 0, length), For: randomDuration(r, minFaultDuration, maxFaultDuration), Act: drawAct(r, sizes)})
 	}
 	steps = append(append(steps, leaves...), drawRests(seed, sizes, length)...)
 	return sortByTime(append(steps, restorations...))
@@ -193,23 +190,20 @@
 // two killed hosts, one of which may have become the lease holder after the backup. It has its own random source, like drawLeaves.
 func drawRestorations(seed uint64, sizes Sizes, length time.Duration) (steps []Step, only bool) {
 	r := rand.New(rand.NewPCG(seed, 4))
-	between := func(shortest, longest time.Duration) time.Duration {
-		return (shortest + time.Duration(r.Int64N(int64(longest-shortest)))).Round(time.Millisecond)
-	}
 	if r.Float64() < restorationOnlyProbability {
-		backup, age := between(0, length/4), between(maxBackupAge/2, maxBackupAge)
+		backup, age := randomDuration(r, 0, length/4), randomDuration(r, maxBackupAge/2, maxBackupAge)
 		restored := backup + age
 		first := r.IntN(sizes.Hosts)
 		second := (first + 1 + r.IntN(sizes.Hosts-1)) % sizes.Hosts
 		return []Step{
 			{At: backup, For: age, Act: RestoreStore{}},
-			{At: backup + between(0, time.Second/2), For: maxFaultDuration, Act: KillHost{first}},
-			{At: restored - between(time.Second/10, time.Second/2), For: maxFaultDuration, Act: KillHost{second}},
-			{At: restored + between(time.Second, 2*time.Second), Act: Withdraw{}},
+			{At: backup + randomDuration(r, 0, time.Second/2), For: maxFaultDuration, Act: KillHost{first}},
+			{At: restored - randomDuration(r, time.Second/10, time.Second/2), For: maxFaultDuration, Act: KillHost{second}},
+			{At: restored + randomDuration(r, time.Second, 2*time.Second), Act: Withdraw{}},
 		}, true
 	}
 	for range r.IntN(maxRestorations + 1) {
-		steps = append(steps, Step{At: between(0, length), For: between(minBackupAge, maxBackupAge), Act: RestoreStore{}})
+		steps = append(steps, Step{At: randomDuration(r, 0, length), For: randomDuration(r, minBackupAge, maxBackupAge), Act: RestoreStore{}})
 	}
 	return steps, false
 }
@@ -219,12 +213,17 @@
 	r := rand.New(rand.NewPCG(seed, 3))
 	var steps []Step
 	for range r.IntN(maxRests + 1) {
-		at := time.Duration(r.Int64N(int64(length))).Round(time.Millisecond)
+		at := randomDuration(r, 0, length)
 		steps = append(steps, Step{At: at, For: restDuration, Act: FailEndpoint{r.IntN(sizes.Endpoints), Rest}})
 	}
 	return steps
 }
 
+// randomDuration draws a duration from the shortest to the longest, rounded to milliseconds.
+func randomDuration(r *rand.Rand, shortest, longest time.Duration) time.Duration {
+	return (shortest + time.Duration(r.Int64N(int64(longest-shortest)))).Round(time.Millisecond)
+}
+
 // sortByTime sorts steps by their start, in place.
 func sortByTime(steps []Step) []Step {
 	slices.SortFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
@@ -240,8 +239,7 @@
 		minLeaves, silentProbability = 1, 1
 	}
 	for range minLeaves + r.IntN(maxLeaves+1-minLeaves) {
-		at, duration := silentStoreLead+time.Duration(r.Int64N(int64(length))), minLeaveDuration+time.Duration(r.Int64N(int64(maxLeaveDuration-minLeaveDuration)))
-		at, duration = at.Round(time.Millisecond), duration.Round(time.Millisecond)
+		at, duration := randomDuration(r, silentStoreLead, silentStoreLead+length), randomDuration(r, minLeaveDuration, maxLeaveDuration)
 		steps = append(steps, Step{At: at, For: duration, Act: LeaveEndpoint{sizes.Engines + r.IntN(sizes.Services)}})
 		if r.Float64() < silentProbability {
 			steps = append(steps, Step{At: at - silentStoreLead, For: duration, Act: Disturb{StoreLink, r.IntN(sizes.Hosts), Silent}})
