--- a/lease/renewed_test.go
+++ b/lease/renewed_test.go
@@ -25,15 +25,35 @@
 	expectedRevision int64
 }
 
+// newLeases returns three processes' views of the lease.
+func newLeases() []*lease.RenewedLease {
+	var leases []*lease.RenewedLease
+	for _, name := range []string{"a", "b", "c"} {
+		leases = append(leases, lease.NewRenewedLease(renewalSettings, name))
+	}
+	return leases
+}
+
+// checkGap fails the test if a process may act within the handover gap after another one acted, and records those that may act now.
+func checkGap(t *rapid.T, now time.Duration, leases []*lease.RenewedLease, lastActed map[int]time.Duration) {
+	for i := range leases {
+		if !leases[i].MayAct(now) {
+			continue
+		}
+		for other, at := range lastActed {
+			if other != i && now-at < renewalSettings.HandoverGap {
+				t.Fatalf("process %d acts %v after process %d", i, now-at, other)
+			}
+		}
+		lastActed[i] = now
+	}
+}
+
 // TestTermGap guards against two hosts that act within the handover gap of each other. It simulates hosts that read,
 // renew and release the lease, pauses of hosts, lost results, and writes that take effect late.
 func TestTermGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		names := []string{"a", "b", "c"}
-		leases := make([]*lease.RenewedLease, len(names))
-		for i, name := range names {
-			leases[i] = lease.NewRenewedLease(renewalSettings, name)
-		}
+		leases := newLeases()
 		const epoch = 7 * time.Second // test time at which the table service's clock shows 0
 		now := time.Minute
 		row := storedRow{}
@@ -48,7 +68,7 @@
 		}
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "pass")) * time.Millisecond
-			host := rapid.IntRange(0, len(names)-1).Draw(t, "host")
+			host := rapid.IntRange(0, len(leases)-1).Draw(t, "host")
 			l := leases[host]
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0, 1:
@@ -84,17 +104,7 @@
 					l.RecordWrite(content, row.revision, committed)
 				}
 			}
-			for i := range leases {
-				if !leases[i].MayAct(now) {
-					continue
-				}
-				for other, at := range lastActed {
-					if other != i && now-at < renewalSettings.HandoverGap {
-						t.Fatalf("%s acts %v after %s", names[i], now-at, names[other])
-					}
-				}
-				lastActed[i] = now
-			}
+			checkGap(t, now, leases, lastActed)
 		}
 	})
 }
--- a/lease/restored_test.go
+++ b/lease/restored_test.go
@@ -50,20 +50,12 @@
 // and release the lease, pauses, lost results, writes that take effect late and after a restoration, and backups of any age.
 func TestRestoredTerms(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		names := []string{"a", "b", "c"}
-		leases := make([]*lease.RenewedLease, len(names))
-		for i, name := range names {
-			leases[i] = lease.NewRenewedLease(renewalSettings, name)
-		}
+		leases := newLeases()
 		const epoch = 7 * time.Second // test time at which the table service's clock shows 0
 		now := time.Minute
 		service := restorableRow{era: 1, version: 1}
 		backup := service
-		type lateWrite struct {
-			row       lease.Record
-			condition int64
-		}
-		var late []lateWrite
+		var late []pendingWrite
 		results := map[int]func(){} // by process: records the result of its last write
 		lastActed, owners, highest := map[int]time.Duration{}, map[int64]int{}, int64(0)
 		observe := func(host int) {
@@ -73,7 +65,7 @@
 		}
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "pass")) * time.Millisecond
-			host := rapid.IntRange(0, len(names)-1).Draw(t, "host")
+			host := rapid.IntRange(0, len(leases)-1).Draw(t, "host")
 			l := leases[host]
 			step := rapid.SampledFrom([]string{"read", "read", "write", "write", "write", "late write", "late result", "release", "other write", "back up", "restore"}).Draw(t, "step")
 			switch step {
@@ -89,7 +81,7 @@
 					service.apply(row, condition)
 					l.RecordWrite(row, 0, false)
 				case 1: // the write takes effect later
-					late = append(late, lateWrite{row, condition})
+					late = append(late, pendingWrite{host, row, condition})
 					l.RecordWrite(row, 0, false)
 				case 2: // the result arrives later
 					revision, committed := service.apply(row, condition)
@@ -105,7 +97,7 @@
 				}
 			case "late write":
 				if len(late) > 0 {
-					service.apply(late[0].row, late[0].condition)
+					service.apply(late[0].content, late[0].expectedRevision)
 					late = late[1:]
 				}
 			case "release":
@@ -120,22 +112,17 @@
 			case "restore":
 				service.restore(backup)
 			}
+			checkGap(t, now, leases, lastActed)
 			for i, l := range leases {
 				if !l.MayAct(now) {
 					continue
 				}
-				for other, at := range lastActed {
-					if other != i && now-at < renewalSettings.HandoverGap {
-						t.Fatalf("%s acts %v after %s", names[i], now-at, names[other])
-					}
-				}
-				lastActed[i] = now
 				number := l.FencingNumber()
 				if owner, used := owners[number]; used && owner != i {
-					t.Fatalf("%s acts with number %d of %s", names[i], number, names[owner])
+					t.Fatalf("process %d acts with number %d of process %d", i, number, owner)
 				}
 				if number < highest {
-					t.Fatalf("%s acts with number %d after %d", names[i], number, highest)
+					t.Fatalf("process %d acts with number %d after %d", i, number, highest)
 				}
 				owners[number], highest = i, number
 			}
--- a/system/platform_leaving_test.go
+++ b/system/platform_leaving_test.go
@@ -35,9 +35,7 @@
 // announceLeaving makes an endpoint announce that it leaves.
 func (s *site) announceLeaving(endpoint *testProcess) {
 	s.t.Helper()
-	response, err := s.client.Post("http://"+endpoint.address()+"/leave", "", nil)
-	qt.Assert(s.t, err, qt.IsNil)
-	response.Body.Close()
+	s.post(endpoint, "/leave")
 }
 
 // TestPlatformLeavingUnderOutdatedHolder guards against hosts with contact to the store that send requests to a leaving
--- a/system/platform_restore_test.go
+++ b/system/platform_restore_test.go
@@ -18,18 +18,10 @@
 const storeAbsence = 700 * time.Millisecond
 
 // backUpStore makes the store keep a copy of itself.
-func (s *site) backUpStore() { s.postStore("/backup") }
+func (s *site) backUpStore() { s.post(s.store, "/backup") }
 
 // restoreStore makes the store come back from the copy that it kept.
-func (s *site) restoreStore() { s.postStore(fmt.Sprintf("/restore?absence=%s", storeAbsence)) }
-
-func (s *site) postStore(path string) {
-	s.t.Helper()
-	response, err := s.client.Post("http://"+s.store.address()+path, "", nil)
-	qt.Assert(s.t, err, qt.IsNil)
-	response.Body.Close()
-	qt.Assert(s.t, response.StatusCode, qt.Equals, http.StatusOK)
-}
+func (s *site) restoreStore() { s.post(s.store, fmt.Sprintf("/restore?absence=%s", storeAbsence)) }
 
 // rewriteConfiguration writes the newest version of the configuration once more.
 func (s *site) rewriteConfiguration(keys ...string) {
--- a/system/platform_test.go
+++ b/system/platform_test.go
@@ -62,12 +62,20 @@
 
 // newSite starts the store, two engines, two services and a number of hosts, and waits until all hosts are ready.
 func newSite(t *testing.T, hosts int) *site {
+	t.Helper()
+	return newSiteWith(t, hosts, func(s *site) {
+		for _, models := range [][]string{{"m1", "m2"}, {"m1"}} {
+			s.startEngine(models...)
+		}
+	})
+}
+
+// newSiteWith is newSite with other engines.
+func newSiteWith(t *testing.T, hosts int, startEngines func(*site)) *site {
 	t.Helper()
 	s := &site{t: t, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 30 * time.Second}}
 	s.store = startPlatformStandin(t, "store", "store", struct{}{})
-	for _, models := range [][]string{{"m1", "m2"}, {"m1"}} {
-		s.startEngine(models...)
-	}
+	startEngines(s)
 	for n := range 2 {
 		s.apps = append(s.apps, startPlatformStandin(t, fmt.Sprint("app", n), "endpoint", fakeplatform.Settings{
 			ID: fmt.Sprint("s", n), Service: "app", Zone: "z1", Store: s.store.address(), Slots: 6,
@@ -167,6 +175,15 @@
 	qt.Assert(s.t, fakeplatform.PutRow(s.client, s.store.address(), table, key, value), qt.IsNil)
 }
 
+// post sends a control request without a body to a stand-in.
+func (s *site) post(standin *testProcess, path string) {
+	s.t.Helper()
+	response, err := s.client.Post("http://"+standin.address()+path, "", nil)
+	qt.Assert(s.t, err, qt.IsNil)
+	response.Body.Close()
+	qt.Assert(s.t, response.StatusCode, qt.Equals, http.StatusOK)
+}
+
 // siteRequest is a caller's request.
 type siteRequest struct {
 	host   int
@@ -194,10 +211,15 @@
 	complete bool
 }
 
+// newRequestID returns an ID that no other request of the tests has.
+func (s *site) newRequestID() string {
+	return fmt.Sprintf("%s-%d", strings.ReplaceAll(s.t.Name(), "/", "-"), s.requestCount.Add(1))
+}
+
 // ask sends a request to a host.
 func (s *site) ask(a siteRequest) siteResponse {
 	s.t.Helper()
-	id := fmt.Sprintf("%s-%d", strings.ReplaceAll(s.t.Name(), "/", "-"), s.requestCount.Add(1))
+	id := s.newRequestID()
 	tokens := a.tokens
 	if a.model != "" {
 		tokens = "100,10"
@@ -353,9 +375,7 @@
 		s.eventually("the key is withdrawn", func() bool { return s.ask(siteRequest{host: n, path: "/stamp/1", key: "k1"}).status == 401 })
 		qt.Check(t, s.ask(siteRequest{host: n, path: "/stamp/1", key: "k3"}).status, qt.Equals, 200)
 	}
-	response, err := s.client.Post("http://"+s.store.address()+"/compact", "", nil)
-	qt.Assert(t, err, qt.IsNil)
-	response.Body.Close()
+	s.post(s.store, "/compact")
 	s.putConfiguration()
 	for n := range s.hosts {
 		s.eventually("the keys written after the compaction are in force", func() bool { return s.ask(siteRequest{host: n, path: "/stamp/1", key: "k1"}).status == 200 })
--- a/system/platform_versions_test.go
+++ b/system/platform_versions_test.go
@@ -20,17 +20,11 @@
 // to be broken off.
 func newVersionedSite(t *testing.T, hosts int) *site {
 	t.Helper()
-	s := newSite(t, hosts)
-	for _, e := range s.engines {
-		e.Kill()
-	}
-	for n := range s.engines {
-		s.removeRow("servers", fmt.Sprint("e", n))
-	}
-	s.engines = nil
-	for _, version := range []string{"v1", "v1", "v2", "v2"} {
-		s.startVersion(version)
-	}
+	s := newSiteWith(t, hosts, func(s *site) {
+		for _, version := range []string{"v1", "v1", "v2", "v2"} {
+			s.startVersion(version)
+		}
+	})
 	for n := range hosts {
 		s.eventually("the host knows all engines", func() bool { return s.statusOf(n).Endpoints == 6 })
 	}
@@ -62,7 +56,7 @@
 // the connection, as a caller does whose connection breaks.
 func (s *site) beginStream(host, events int) (id, body string) {
 	s.t.Helper()
-	id = fmt.Sprintf("%s-%d", strings.ReplaceAll(s.t.Name(), "/", "-"), s.requestCount.Add(1))
+	id = s.newRequestID()
 	request, err := fakeplatform.Request{
 		ID: id, Host: "h", Path: "/free/1", Key: "k1", Model: "m1", Tokens: "100,10", CallerTimeout: 5 * time.Second,
 	}.HTTPRequest(s.callerAddresses[host])
--- a/system/platform_warmup_test.go
+++ b/system/platform_warmup_test.go
@@ -142,9 +142,7 @@
 
 	s.putRow("op", "evacuate/z1", nil)
 	time.Sleep(evacuationBound)
-	response, err := s.client.Post("http://"+engine.address()+"/cool", "", nil)
-	qt.Assert(t, err, qt.IsNil)
-	response.Body.Close()
+	s.post(engine, "/cool")
 	s.removeRow("op", "evacuate/z1")
 	check("returned to service", time.Now().UnixMilli(), 3*time.Second)
 	known := time.Now().UnixMilli()
