connection: a flood of small chunks does not starve other exchanges

The goroutines that decode chunks always have more to read and keep a processor for whole time slices; each hop of another exchange waits for several of them. Ruled out: lost packets (no SYN sent again, no drops of the backlog in the kernel's counters), garbage collection (3 cycles).

Change: a response reader calls runtime.Gosched after each read of 4 KB or more.

--- a/connection/exchange.go
+++ b/connection/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"time"
@@ -40,7 +41,7 @@
 }
 
 func newResponseReader(source io.Reader) *responseReader {
-	limiter := &headLimiter{source: source}
+	limiter := &headLimiter{source: yieldingReader{source}}
 	return &responseReader{bufio.NewReaderSize(limiter, readerSize), limiter}
 }
 
@@ -70,6 +71,22 @@
 	return n, err
 }
 
+// yieldingReader reads from a source, and lets other goroutines run after each read that fills a read buffer. Otherwise an endpoint
+// that sends faster than its bytes are decoded keeps a processor for a whole time slice of the scheduler, and exchanges with other
+// endpoints wait for many of them.
+type yieldingReader struct {
+	source io.Reader
+}
+
+// Read reads from the source.
+func (r yieldingReader) Read(buffer []byte) (int, error) {
+	n, err := r.source.Read(buffer)
+	if n >= readerSize {
+		runtime.Gosched()
+	}
+	return n, err
+}
+
 // IsFinalStatus reports whether a status is that of a final response. HTTP defines no status below 100 or above 599; a response with
 // such a status, which net/http accepts, is malformed.
 func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
