quarantine: coincident crashes do not prolong the block of a sound part

Cause: from the fourth crash on each crash of a part doubles its block, also one that other suspects of it may explain. A sound part that came with several deadly ones, or with crashes for other reasons, was blocked for minutes (TestPropertyFleet). A request with several suspected parts also tried a part whose block had ended, and its crash under another part prolonged the block.

Change: if most crashes of a blocked part have another suspect that the request does not have, only crashes after the end of a block prolong it. Requests with several suspected parts try such a part 5 s later than requests without the others.

Result: two new cases of TestVerdicts and TestJointTrial fail without the change.

--- a/quarantine/assessment.go
+++ b/quarantine/assessment.go
@@ -87,7 +87,7 @@
 // assessFor weighs the evidence against a part of a request. Parts that occur together cannot be told apart until one of them
 // occurs alone. If parts that the request does not have may account for half of the part's crashes, the others may be a
 // coincidence: the part may be tried, by one host after the other. If a blocked one of them accounts for all and is on more, the
-// part is sound.
+// part is sound. If most crashes have another suspect that is not in the request, the block ends as retryAt says.
 func (l *Ledger) assessFor(now time.Duration, part Part, requestParts []uint64) assessment {
 	found := l.assess(now, part)
 	if found.level == levelNone {
@@ -99,12 +99,52 @@
 			return assessment{}
 		}
 	}
-	if found.level == levelBlocked && 2*l.unaccountedCrashes(part, rivals) <= found.crashes {
-		found.level, found.until = levelBlockEnded, found.last
+	if found.level != levelBlocked {
+		return found
+	}
+	switch {
+	case 2*l.unaccountedCrashes(part, rivals) <= found.crashes:
+		found.until = found.last
+	case 2*l.ambiguousCrashes(part, requestParts) > found.crashes:
+		found.until = min(found.until, l.retryAt(part))
+	}
+	if now >= found.until {
+		found.level = levelBlockEnded
 	}
 	return found
 }
 
+// ambiguousCrashes returns the number of a part's crashes that may be due to a part that a request does not have.
+func (l *Ledger) ambiguousCrashes(part Part, requestParts []uint64) int {
+	count := 0
+	for _, c := range l.byPart[part] {
+		if c.countsAgainst(part) && c.hasOtherSuspect(requestParts) {
+			count++
+		}
+	}
+	return count
+}
+
+// retryAt returns the end of a part's block if only a crash after the end of a block makes the next block longer. Other crashes may
+// be a coincidence.
+func (l *Ledger) retryAt(part Part) time.Duration {
+	crashes, block, until := 0, longBlock, time.Duration(0)
+	for _, c := range l.byPart[part] {
+		if !c.countsAgainst(part) {
+			continue
+		}
+		crashes++
+		switch {
+		case crashes <= manyCrashes:
+			until = c.at + blockTime(crashes)
+		case c.at >= until:
+			block = min(2*block, maxBlock)
+			until = c.at + block
+		}
+	}
+	return until
+}
+
 // minRivalCrashes is the number of crashes from which another part may account for those of a part.
 const minRivalCrashes = 2
 
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -52,6 +52,16 @@
 	return found && part.Pool == c.pool && !s.Cleared && !s.Familiar
 }
 
+// hasOtherSuspect reports whether the crash counts against a part that is not among those of a request.
+func (c *crash) hasOtherSuspect(requestParts []uint64) bool {
+	for id := range c.suspects {
+		if !slices.Contains(requestParts, id) && c.countsAgainst(Part{c.pool, id}) {
+			return true
+		}
+	}
+	return false
+}
+
 // report returns the crash in the form that other hosts receive.
 func (c *crash) report(now time.Duration) Report {
 	r := Report{Process: c.process, Pool: c.pool, Age: now - c.at, Refuted: c.refuted}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -51,7 +52,7 @@
 // Ledger is one host's collection of crashes. It is not safe for concurrent use.
 type Ledger struct {
 	crashes  map[string]*crash // by process
-	byPart   map[Part][]*crash // crashes of which the part is a suspect that is not cleared
+	byPart   map[Part][]*crash // crashes of which the part is a suspect that is not cleared, by time
 	blocked  map[Part]bool     // parts that were blocked after the last event about them; a block may have ended since
 	answered *answeredParts
 	revision int64
@@ -170,7 +171,8 @@
 	c.suspects[s.Part] = merged
 	l.touch(c)
 	if !merged.Cleared && !found {
-		l.byPart[part] = append(l.byPart[part], c)
+		at, _ := slices.BinarySearchFunc(l.byPart[part], c, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+		l.byPart[part] = slices.Insert(l.byPart[part], at, c)
 	}
 	if merged.Cleared && found && !known.Cleared {
 		l.unlinkPart(part, c)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -38,6 +38,19 @@
 	return quarantine.EngineCrashed{Pool: pool, Process: process, Requests: []quarantine.Request{{Parts: prompt(parts...), Trials: []uint64{part}}}}
 }
 
+// fiveCrashes returns crashes of which the companion is a suspect each time, with another suspect or without.
+func fiveCrashes(others bool) []step {
+	var steps []step
+	for n := range uint64(5) {
+		parts := []uint64{companion}
+		if others {
+			parts = append(parts, deadly+n)
+		}
+		steps = append(steps, step{time.Duration(n), crash(fmt.Sprint("e", n), parts)})
+	}
+	return steps
+}
+
 // answer returns the event of an answer on a prompt.
 func answer(parts ...uint64) quarantine.AnswerStarted {
 	return quarantine.AnswerStarted{Pool: pool, Parts: prompt(parts...)}
@@ -148,6 +161,18 @@
 				{3, trial("e3", companion, companion, deadly+1)}, {4, trial("e4", companion, companion, deadly+1)},
 			}, 5, prompt(companion), "suspected after a block: c0",
 		},
+		"part on five crashes, most with other suspects": {
+			fiveCrashes(true), 30 * time.Second, prompt(companion), "blocked by c0",
+		},
+		"part on five crashes, most with other suspects, after a minute": {
+			fiveCrashes(true), 65 * time.Second, prompt(companion), "suspected after a block: c0",
+		},
+		"part on five crashes without other suspects, after a minute": {
+			fiveCrashes(false), 65 * time.Second, prompt(companion), "blocked by c0",
+		},
+		"part on five crashes, most with other suspects, a trial after a minute crashes": {
+			append(fiveCrashes(true), step{65 * time.Second, trial("e6", companion, companion)}), 130 * time.Second, prompt(companion), "blocked by c0",
+		},
 		"refuted crash": {
 			[]step{{1, crash("e1", []uint64{deadly})}, {3, quarantine.EngineAnswered{Process: "e1", SentAt: 2}}}, 4, prompt(deadly), "sound",
 		},
@@ -268,3 +293,18 @@
 	l.Apply(3001, trial("f", deadly, deadly))
 	qt.Check(t, describe(l.Judge(3002, pool, prompt(deadly))), qt.Equals, "blocked by dead")
 }
+
+// TestJointTrial guards against a crash under a request with several parts under suspicion that prolongs the block of a part which
+// requests without the others would have cleared.
+func TestJointTrial(t *testing.T) {
+	l := quarantine.New()
+	l.Apply(1, crash("e1", []uint64{companion}))
+	l.Apply(2, trial("e2", companion, companion))
+	l.Apply(3, crash("e3", []uint64{deadly}))
+	alone, _ := l.Judge(5*time.Second, pool, prompt(companion)).(quarantine.Suspected)
+	joint, _ := l.Judge(5*time.Second, pool, prompt(companion, deadly)).(quarantine.Suspected)
+	qt.Assert(t, alone.Parts, qt.HasLen, 1)
+	qt.Assert(t, joint.Parts, qt.HasLen, 2)
+	qt.Check(t, alone.BlockEnded, qt.Equals, 4*time.Second+2)
+	qt.Check(t, joint.BlockEnded, qt.Equals, 9*time.Second+2)
+}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -27,6 +27,10 @@
 func (Suspected) isVerdict() {}
 func (Blocked) isVerdict()   {}
 
+// jointTrialDelay is for how long after a block only requests without other parts under suspicion try the part again. A crash under a
+// request with several of them tells less.
+const jointTrialDelay = 5 * time.Second
+
 // Judge returns the verdict on a request of a pool with the parts of its prompt, in their order.
 func (l *Ledger) Judge(now time.Duration, pool string, parts []uint64) Verdict {
 	if len(l.byPart) == 0 {
@@ -50,8 +54,11 @@
 		}
 		suspected.Parts = append(suspected.Parts, part)
 	}
-	if len(suspected.Parts) == 0 {
+	switch {
+	case len(suspected.Parts) == 0:
 		return Sound{}
+	case len(suspected.Parts) > 1 && suspected.BlockEnded > 0:
+		suspected.BlockEnded += jointTrialDelay
 	}
 	return suspected
 }
