dispatch: bound the number of prefixes in the estimate of an engine's cache

Cause: the estimate was bounded by the tokens of its prefixes only.

Change: at most 2,048 prefixes for each engine.

--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -11,6 +11,9 @@
 // can cache, because requests of other hosts evict entries too.
 const maxCachedTokens = 60_000
 
+// maxCachedPrefixes bounds the memory of the estimate for one engine: callers may make up parts of few tokens, or of none.
+const maxCachedPrefixes = 2048
+
 // promptCache is the host's estimate of an engine's prefix cache, made from the host's own requests. It evicts the least
 // recently used prefixes.
 type promptCache struct {
@@ -72,7 +75,7 @@
 		c.byKey[p.key] = c.recent.PushFront(&cachedPrefix{p, now})
 		c.tokens += p.tokens
 	}
-	for c.tokens > maxCachedTokens {
+	for c.tokens > maxCachedTokens || c.recent.Len() > maxCachedPrefixes {
 		last := c.recent.Back()
 		p := c.recent.Remove(last).(*cachedPrefix)
 		delete(c.byKey, p.key)
