--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -33,11 +34,23 @@
 	id, path, lastEventID, resumes string
 	deadline                       time.Duration
 	leaveAfter                     int // events after which the client closes its connection; 0: it stays
+	leave                          <-chan struct{}
 }
 
 // do sends an attempt on a new connection, and reads its events. onPiece is called for each.
 func (q streamRequest) do(address string, onPiece func(piece)) answer {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+q.path, strings.NewReader(strings.Repeat("p", 600)))
+	ctx, cancel := context.WithTimeout(context.Background(), q.deadline)
+	defer cancel()
+	if q.leave != nil {
+		go func() {
+			select {
+			case <-q.leave:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+q.path, strings.NewReader(strings.Repeat("p", 600)))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -52,7 +65,7 @@
 		request.Header.Set("Last-Event-Id", q.lastEventID)
 		request.Header.Set("Resumes", q.resumes)
 	}
-	client := &http.Client{Timeout: q.deadline, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		return answer{err: err}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -94,7 +94,7 @@
 		cannotRun("%v", err)
 	}
 	time.AfterFunc(timeLimit, func() { cannotRun("it took too long") })
-	cases := map[string]func(*fleet) bool{"versions-cut": versionsCut, "versions-herd": versionsHerd}
+	cases := map[string]func(*fleet) bool{"versions-cut": versionsCut, "versions-herd": versionsHerd, "taken-up": takenUp}
 	play, known := cases[os.Args[1]]
 	if !known {
 		cannotRun("unknown case %s", os.Args[1])
