Review: case 13 kills at all moments between two writes of a row

The kills came at a fixed time after the last write, so that hardly any stream was known. They now meet all moments.

--- a/review/standins-3/takenup.go
+++ b/review/standins-3/takenup.go
@@ -27,6 +27,7 @@
 	streamsEach   = 25 * time.Millisecond // between two new streams, over all hosts
 	kills         = 8
 	killInterval  = 5 * time.Second
+	killShift     = 63 * time.Millisecond // by which each interval is longer, so that kills meet all moments between two writes of a row
 	restartDelay  = time.Second
 	warmUp        = 2 * time.Second
 	takeUpTimeout = 4 * time.Second
@@ -46,10 +47,10 @@
 	count := &tally{}
 	breaks := newBroadcast()
 	var running sync.WaitGroup
-	stop := time.Now().Add(warmUp + kills*killInterval)
+	stop := time.Now().Add(warmUp + kills*killInterval + kills*kills/2*killShift)
 	running.Go(func() {
 		time.Sleep(warmUp)
-		for range kills {
+		for n := range kills {
 			if f.trouble {
 				killed.signal(syscall.SIGKILL)
 				killed.wait(5 * time.Second)
@@ -60,7 +61,7 @@
 				breaks.send()
 				time.Sleep(restartDelay)
 			}
-			time.Sleep(killInterval - restartDelay)
+			time.Sleep(killInterval - restartDelay + time.Duration(n)*killShift)
 		}
 	})
 	for n := 0; time.Now().Before(stop); n++ {
