Review: case 14, a late order reaches the next process of an engine

An order that got no answer at its first sending is carried out after the engine has started again under its id, at the same sequence number: a ninth adapter is loaded into eight places, and the engine crashes. Without the trouble no order is too many. The clients of cases 11 and 12 retry fewer times, with growing pauses.

--- a/review/standins-3/host.go
+++ b/review/standins-3/host.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -42,11 +45,19 @@
 	return h
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// freeAddress returns a loopback address whose port was free a moment ago. The port is below the usual range of outgoing connections, so
+// that none of them takes it before the host listens.
 func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", 20000+rand.IntN(12000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
+	cannotRun("no free port")
+	return ""
 }
 
 // start starts the host's process.
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -94,7 +94,7 @@
 		cannotRun("%v", err)
 	}
 	time.AfterFunc(timeLimit, func() { cannotRun("it took too long") })
-	cases := map[string]func(*fleet) bool{"versions-cut": versionsCut, "versions-herd": versionsHerd, "taken-up": takenUp}
+	cases := map[string]func(*fleet) bool{"versions-cut": versionsCut, "versions-herd": versionsHerd, "taken-up": takenUp, "late-order": lateOrder}
 	play, known := cases[os.Args[1]]
 	if !known {
 		cannotRun("unknown case %s", os.Args[1])
@@ -119,7 +119,7 @@
 		"services": []map[string]any{
 			{"name": "llm", "health_path": "/healthz", "max_conns": 360, "protocol": "h1", "tls": false, "engine": map[string]any{
 				"slots": 64, "kv_capacity": 131945, "kv_token_bytes": 163840, "link_mbps": 130000.0, "host_mb": 150000.0, "disk_mb": 440000.0,
-				"models":     []map[string]any{{"name": "m1", "weights_mb": 72700.0, "load_s": 8.6, "adapters": 0, "adapter_mb": 66.0, "warm_s": 0.81, "disk_s": 1.7}},
+				"models":     []map[string]any{{"name": "m1", "weights_mb": 72700.0, "load_s": 8.6, "adapters": 37, "adapter_mb": 66.0, "warm_s": 0.81, "disk_s": 1.7}},
 				"weights_mb": 220000.0, "adapter_slots": 8, "loads_per_s": 1.4}},
 			{"name": "app", "health_path": "/healthz", "max_conns": 96, "protocol": "h1", "tls": false},
 		},
--- a/review/standins-3/versions.go
+++ b/review/standins-3/versions.go
@@ -10,9 +10,9 @@
 
 const (
 	streamDeadline = 15 * time.Second
-	// retryPause is the pause between two tries of a client, and maxTries how often it tries.
-	retryPause = 700 * time.Millisecond
-	maxTries   = 8
+	// firstPause is the pause of a client before its second try; each later pause is twice as long. maxTries is how often it tries.
+	firstPause = 200 * time.Millisecond
+	maxTries   = 6
 )
 
 // reader is a client that takes up its stream after a broken connection.
@@ -55,7 +55,7 @@
 			c.whole = true
 			return
 		}
-		time.Sleep(retryPause)
+		time.Sleep(firstPause << (try - 1))
 		at = f.other(at)
 	}
 }
