--- a/review/standins-3/adapters.go
+++ b/review/standins-3/adapters.go
@@ -50,12 +50,25 @@
 	lateFor    string // adapter whose next load gets no answer and is carried out late
 	overloaded bool   // it was ordered to load more adapters than it has slots
 	lost       int    // requests that ran when that happened
+	step       time.Duration
+	arrivals   []arrival
 }
 
-func startAdapterEngine(s *store, rec *record, id string) *adapterEngine {
-	e := &adapterEngine{id: id, store: s, record: rec, models: []string{"m1"}}
+// arrival is the arrival of an order at an engine.
+type arrival struct {
+	at    time.Time
+	owner string
+	fence int64
+}
+
+func startAdapterEngine(s *store, rec *record, id string, step time.Duration) *adapterEngine {
 	l := listen()
-	e.address = l.Addr().String()
+	return startAdapterEngineBehind(s, rec, id, step, l, l.Addr().String())
+}
+
+// startAdapterEngineBehind starts an engine whose entry names another address than that of its listener.
+func startAdapterEngineBehind(s *store, rec *record, id string, step time.Duration, l net.Listener, address string) *adapterEngine {
+	e := &adapterEngine{id: id, address: address, store: s, record: rec, models: []string{"m1"}, step: step}
 	e.start(l)
 	go func() {
 		for {
@@ -142,6 +155,7 @@
 	}
 	e.mu.Lock()
 	e.orders++
+	e.arrivals = append(e.arrivals, arrival{time.Now(), o.Owner, o.Fence})
 	late := e.lateFor != "" && o.Opcode == "load" && o.Adapter == e.lateFor
 	if late {
 		e.lateFor = ""
@@ -266,7 +280,7 @@
 	control := http.NewResponseController(w)
 	for n := 1; n <= shortEvents; n++ {
 		select {
-		case <-time.After(adapterStep):
+		case <-time.After(e.step):
 		case <-r.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
@@ -278,7 +292,7 @@
 // lateOrder: an order to load an adapter gets no answer. It is carried out late, after the engine has crashed and started again under its
 // id, at a moment when the new process has accepted as many orders as the one before had.
 func lateOrder(f *fleet) bool {
-	e := startAdapterEngine(f.store, f.record, "i-1")
+	e := startAdapterEngine(f.store, f.record, "i-1", adapterStep)
 	startEngine(f.store, f.record, "i-app-1", "app", "v1", nil, 0, 30*time.Millisecond)
 	f.configure(7)
 	f.startHosts(2)
--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -37,6 +37,7 @@
 	leaveAfter                     int // events after which the client closes its connection; 0: it stays
 	leave                          <-chan struct{}
 	model                          string // m1 if empty
+	tokens                         string // of the prompt and at most of the answer; a usual number if empty
 }
 
 // do sends an attempt on a new connection, and reads its events. onPiece is called for each.
@@ -59,7 +60,7 @@
 	request.Host = "h.example"
 	request.Header.Set("X-Request-Id", q.id)
 	request.Header.Set("X-Model", cmp.Or(q.model, "m1"))
-	request.Header.Set("X-Token-Count", "400,120")
+	request.Header.Set("X-Token-Count", cmp.Or(q.tokens, "400,120"))
 	request.Header.Set("X-Prompt-Prefix", "5c1e07a2:200,"+hexOf(q.id)+":200")
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.deadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Token "+key)
