Confirm the versions in service before a stream goes on without a known origin

A host that was cut off from the store and from the other host went on, at v1, with streams that the other host had begun at v2.

Cause: a host that did not know a stream took the only version that it had seen for that of the stream, without regard to the age of what it had seen. It made no call to the store, so it did not even notice that it was cut off.

The versions that a host has seen now count only if a read of the rows that began after the request's arrival had a response, or if the configuration was confirmed after the arrival while the store responds to no host. Otherwise the stream is refused as not run.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -43,7 +43,7 @@
 // rowLost stands for the number of written streams when the store may have lost the row.
 const rowLost = -1
 
-// origins is what this host knows of the versions that began streams. The host's lock guards all but reading and readAt.
+// origins is what this host knows of the versions that began streams. The host's lock guards all but the fields on the last read.
 type origins struct {
 	ledger    *origin.Ledger
 	recalled  bool          // the rows were read since this process started
@@ -51,8 +51,9 @@
 	written   int           // streams of the ledger at that time, or rowLost
 	versions  int           // sightings at that time
 
-	reading sync.Mutex    // held by the one read of the rows
-	readAt  time.Duration // start of the last read; guarded by reading
+	reading  sync.Mutex    // held by the one read of the rows
+	readAt   time.Duration // start of the last read; guarded by reading
+	readDone bool          // the last read had a response; guarded by reading
 }
 
 // streamRow is the value of a host's row.
@@ -94,15 +95,14 @@
 		return dispatch.Origin{}
 	}
 	key, startedAt := origin.KeyOf(stream.RequestID), h.Now()
-	known, certain := h.knownOrigin(key)
+	known, certain := h.knownOrigin(key, false)
 	if !certain {
-		h.readOrigins(startedAt)
-		known, certain = h.knownOrigin(key)
+		known, certain = h.knownOrigin(key, h.readOrigins(startedAt) || h.storeIsAway(startedAt))
 	}
 	if !certain && ctx.Err() == nil && stream.RequestID != "" {
 		h.sleep(min(h.streamWriteInterval(), maxStreamWait)) // the host that served the stream may not have written its row yet
-		h.readOrigins(h.Now())
-		known, certain = h.knownOrigin(key)
+		readAt := h.Now()
+		known, certain = h.knownOrigin(key, h.readOrigins(readAt) || h.storeIsAway(readAt))
 	}
 	if !certain {
 		h.log.Info("entry: software version of a stream is unknown", "request", arrival.Request.ID, "resumes", stream.RequestID)
@@ -110,31 +110,39 @@
 	return known
 }
 
-// knownOrigin returns what this host knows of the version that began a stream, and whether nothing more can be learned.
-func (h *Host) knownOrigin(key origin.Key) (known dispatch.Origin, certain bool) {
+// knownOrigin returns what this host knows of the version that began a stream, and whether nothing more can be learned. The versions that
+// this host has seen prove something about the stream only if they are confirmed to be all that were in service until its caller took it
+// up: another host may have begun it at a version that has not been seen here.
+func (h *Host) knownOrigin(key origin.Key, confirmed bool) (known dispatch.Origin, certain bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known.Version, known.Known = h.origins.ledger.Find(key)
-	known.Recalled = h.origins.recalled || h.Now() > origin.Retention
+	known.Recalled = confirmed && (h.origins.recalled || h.Now() > origin.Retention)
 	return known, known.Known || known.Recalled && len(h.state.MixedVersions(h.Now())) == 0
 }
 
-// readOrigins reads the rows of all hosts, or waits for a read that begins after a time.
-func (h *Host) readOrigins(after time.Duration) {
+// storeIsAway reports whether the configuration was confirmed to be current after a time although this host can't read from the store: the
+// store then responds to no host, so that no endpoint can have registered.
+func (h *Host) storeIsAway(after time.Duration) bool { return h.store.Silence() <= h.Now()-after }
+
+// readOrigins reads the rows of all hosts, or waits for a read that begins after a time. It reports whether the rows were read.
+func (h *Host) readOrigins(after time.Duration) bool {
 	h.origins.reading.Lock()
 	defer h.origins.reading.Unlock()
 	if h.origins.readAt >= after && after > 0 {
-		return
+		return h.origins.readDone
 	}
 	ctx, cancel := context.WithTimeout(h.tomb.Context(context.Background()), streamReadLimit)
 	defer cancel()
 	h.origins.readAt = h.Now() // also of a read that fails, so that callers don't wait for one read after the other
 	snapshot, err := h.store.ReadAll(ctx, streamTable)
+	h.origins.readDone = err == nil
 	if err != nil {
 		h.log.Info("entry: unable to read which versions began the streams", "error", err)
-		return
+		return false
 	}
 	h.learnOrigins(snapshot.Rows)
+	return true
 }
 
 // learnOrigins applies the rows of all hosts. A lease holder removes those of hosts that have been gone for long.
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -9,9 +9,11 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"magnoliahoist/catalog"
 	"magnoliahoist/config"
 	"magnoliahoist/directory"
 	"magnoliahoist/dispatch"
+	"magnoliahoist/fault"
 	"magnoliahoist/intake"
 	"magnoliahoist/origin"
 	"magnoliahoist/platform/fakeplatform"
@@ -22,6 +24,14 @@
 	h := New(config.Entry{Name: name, Domain: "near", Store: store}, hclog.NewNullLogger())
 	h.createdAt -= time.Hour // so that its first write is due
 	h.fleet.members[name] = h.fleet.self
+	h.Apply(dispatch.ConfigurationChanged{Catalog: catalog.New(catalog.Document{
+		Version: 1,
+		Routes: []catalog.Route{{
+			Name: "free", Host: "h", Prefix: "/free/", Open: true, Stream: true, Resumable: true, Repeat: catalog.AtMostOnce, MaxAttempts: 2,
+			Timeout: 5 * time.Second, Pools: []catalog.WeightedPool{{Pool: "llm", Weight: 1}},
+		}},
+		Pools: []catalog.Pool{{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: map[string]catalog.Model{"m": {Name: "m"}}}}},
+	})})
 	h.setVersions("v1", "v2")
 	return h
 }
@@ -59,11 +69,11 @@
 	reader := newOriginHost("c", store)
 	reader.readOrigins(reader.Now())
 	for id, want := range map[string]string{"s1": "v1", "s-a": "v2", "s-b": "v2"} {
-		known, certain := reader.knownOrigin(origin.KeyOf(id))
+		known, certain := reader.knownOrigin(origin.KeyOf(id), true)
 		qt.Check(t, certain, qt.IsTrue, qt.Commentf("%s", id))
 		qt.Check(t, known.Version, qt.Equals, origin.Version{Pool: "llm", Software: want})
 	}
-	_, certain := reader.knownOrigin(origin.KeyOf("other"))
+	_, certain := reader.knownOrigin(origin.KeyOf("other"), true)
 	qt.Check(t, certain, qt.IsFalse)
 }
 
@@ -79,11 +89,11 @@
 
 	after := New(config.Entry{Name: "a", Domain: "near", Store: store}, hclog.NewNullLogger())
 	after.setVersions("v2")
-	known, certain := after.knownOrigin(origin.KeyOf("s1"))
+	known, certain := after.knownOrigin(origin.KeyOf("s1"), true)
 	qt.Check(t, known.Recalled, qt.IsFalse)
 	qt.Check(t, certain, qt.IsFalse)
 	after.readOrigins(after.Now())
-	known, certain = after.knownOrigin(origin.KeyOf("s1"))
+	known, certain = after.knownOrigin(origin.KeyOf("s1"), true)
 	qt.Check(t, known.Recalled, qt.IsTrue)
 	qt.Check(t, certain, qt.IsFalse)
 	qt.Check(t, after.state.MixedVersions(after.Now()), qt.HasLen, 2)
@@ -106,7 +116,7 @@
 	h.origins.writtenAt = h.Now() - streamRefreshInterval/2
 	h.keepOrigins(t.Context())
 	reader.readOrigins(reader.Now())
-	_, certain := reader.knownOrigin(origin.KeyOf("s1"))
+	_, certain := reader.knownOrigin(origin.KeyOf("s1"), true)
 	qt.Check(t, certain, qt.IsTrue)
 }
 
@@ -123,3 +133,37 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, row.Version, qt.Equals, int64(0))
 }
+
+// TestOriginsWithoutStore guards against a host that takes the only version that it has seen for that of a stream which another host has
+// begun, although it could not learn of other versions since: it is cut off from the store.
+func TestOriginsWithoutStore(t *testing.T) {
+	resumption := intake.Resumption{LastEventID: "3", RequestID: "s1"}
+	for name, test := range map[string]struct {
+		faults  fault.Faults
+		certain bool
+	}{
+		"in touch": {fault.Faults{}, true},
+		"cut off":  {fault.Faults{Down: true}, false},
+		"refused":  {fault.Faults{Refuse: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			standin, store := startStore(t)
+			h := newOriginHost("a", store)
+			h.createdAt -= time.Hour
+			h.setVersions("v1")
+			h.createdAt -= time.Hour // the other version is forgotten
+			h.readOrigins(h.Now())
+			qt.Assert(t, h.origins.recalled, qt.IsTrue)
+			standin.Faults().Replace(test.faults)
+			known := h.originOf(t.Context(), resumedArrival(resumption))
+			qt.Check(t, known.Known, qt.IsFalse)
+			qt.Check(t, known.Recalled, qt.Equals, test.certain)
+		})
+	}
+}
+
+// resumedArrival returns the arrival of a request that takes up a stream.
+func resumedArrival(resumption intake.Resumption) dispatch.RequestArrived {
+	work := intake.Generation{Model: "m", PromptTokens: 10, MaxOutputTokens: 10}
+	return dispatch.RequestArrived{Number: 1, Request: &intake.Request{ID: "r", Host: "h", Path: "/free/1", Work: work, Resumption: resumption}}
+}
