Keep the base version of each pool in the store

All hosts were killed, and a release ran while they were down.

Cause: nothing was kept of the streams of a pool with one version, and a host that started read the empty table as proof that there was never another version.

A row for each pool with resumable streams now names its base version, at which streams begin without a record. Hosts write it when they first see the pool's endpoints; a lease holder changes it once the version has been out of service for more than a minute. A read of the rows counts the base as in service until now, so a stream without a record is no longer taken to be of the only version that a new host sees.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -97,6 +97,22 @@
 	return p, known
 }
 
+// ResumablePools returns the names of the pools that serve streams which may be resumed, in ascending order.
+func (c *Catalog) ResumablePools() []string {
+	pools := map[string]bool{}
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			if !r.Stream || !r.Resumable {
+				continue
+			}
+			for _, p := range r.Pools {
+				pools[p.Pool] = true
+			}
+		}
+	}
+	return sortedKeys(pools)
+}
+
 // Pools returns the names of all pools in ascending order.
 func (c *Catalog) Pools() []string { return sortedKeys(c.pools) }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,7 @@
 	// operatorSource is who reported the last change of the operator table: the id of a lease holder, deputySource or storeSource.
 	operatorSource string
 	origins        origins
+	bases          bases
 	configuration  table.Row                       // the configuration in force as it was read
 	inboxes        map[uint64]chan dispatch.Effect // by request number
 
@@ -114,6 +115,7 @@
 	}
 	h.operatorSource = storeSource
 	h.origins.ledger = origin.NewLedger()
+	h.bases.known = map[string]knownBase{}
 	h.stopSignal = newStopSignal()
 	h.registry.tableCopy = newTableCopy(fractionOf(settings.DrainLimit, endpointValidityFraction))
 	h.engines = platform.NewEngineClient(h.connections, settings.Name, h.heedNotice)
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -149,7 +149,15 @@
 func (h *Host) learnOrigins(rows []table.Row) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.learnBases(rows)
+	for pool, base := range h.bases.known {
+		// Streams of the base version may have begun until its endpoints left, and no row names them.
+		h.apply(dispatch.VersionsRecalled{Sightings: []origin.Sighting{{Version: origin.Version{Pool: pool, Software: base.Software}}}})
+	}
 	for _, row := range rows {
+		if strings.HasPrefix(row.Key, basePrefix) {
+			continue
+		}
 		var value streamRow
 		if err := json.Unmarshal(row.Value, &value); err != nil {
 			h.log.Warn("entry: unable to decode which versions began the streams of a host", "row", row.Key, "error", err)
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -19,30 +18,46 @@
 	"magnoliahoist/platform/fakeplatform"
 )
 
-// newOriginHost returns a host that knows engines of two software versions, v1 and v2.
+// newOriginHost returns a host that has run for an hour and knows engines of two software versions, v1 and v2.
 func newOriginHost(name, store string) *Host {
+	h := startAgain(name, store)
+	h.createdAt -= time.Hour
+	h.setVersions("v1", "v2")
+	return h
+}
+
+// startAgain returns a host that has just started and knows an engine of each version.
+func startAgain(name, store string, versions ...string) *Host {
 	h := New(config.Entry{Name: name, Domain: "near", Store: store}, hclog.NewNullLogger())
-	h.createdAt -= time.Hour // so that its first write is due
 	h.fleet.members[name] = h.fleet.self
-	h.Apply(dispatch.ConfigurationChanged{Catalog: catalog.New(catalog.Document{
+	c := catalog.New(catalog.Document{
 		Version: 1,
 		Routes: []catalog.Route{{
 			Name: "free", Host: "h", Prefix: "/free/", Open: true, Stream: true, Resumable: true, Repeat: catalog.AtMostOnce, MaxAttempts: 2,
 			Timeout: 5 * time.Second, Pools: []catalog.WeightedPool{{Pool: "llm", Weight: 1}},
 		}},
 		Pools: []catalog.Pool{{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: map[string]catalog.Model{"m": {Name: "m"}}}}},
-	})})
-	h.setVersions("v1", "v2")
+	})
+	h.catalog.Store(c)
+	h.Apply(dispatch.ConfigurationChanged{Catalog: c})
+	h.setVersions(versions...)
 	return h
 }
 
-// setVersions registers an engine of each version.
+// setVersions registers an engine of each version, and no others.
 func (h *Host) setVersions(versions ...string) {
-	var list []directory.Endpoint
-	for n, version := range versions {
-		list = append(list, directory.Endpoint{ID: fmt.Sprint("e", n), Pool: "llm", Software: version})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var changes []directory.Change
+	for _, e := range h.directory.Endpoints() {
+		changes = append(changes, directory.Change{ID: e.ID, Removed: true})
+	}
+	for _, version := range versions {
+		e := directory.Endpoint{ID: "e-" + randomHex(idBytes), Pool: "llm", Domain: "near", Software: version, Slots: 8, Models: []directory.Model{{Name: "m"}}}
+		changes = append(changes, directory.Change{ID: e.ID, Endpoint: e})
 	}
-	h.Apply(dispatch.EndpointsChanged{Endpoints: list})
+	h.directory.Apply(h.Now(), changes)
+	h.publishEndpoints()
 }
 
 // begin records that a version has begun a stream.
@@ -167,3 +182,20 @@
 	work := intake.Generation{Model: "m", PromptTokens: 10, MaxOutputTokens: 10}
 	return dispatch.RequestArrived{Number: 1, Request: &intake.Request{ID: "r", Host: "h", Path: "/free/1", Work: work, Resumption: resumption}}
 }
+
+// resumedWith returns the arrival of a request that takes up a stream of which a host has learned something.
+func resumedWith(known dispatch.Origin) dispatch.RequestArrived {
+	arrival := resumedArrival(intake.Resumption{LastEventID: "3", RequestID: "s1"})
+	arrival.Origin = known
+	return arrival
+}
+
+// refusalOf returns the reason with which a request was refused; empty if it was not.
+func refusalOf(effects []dispatch.Effect) string {
+	for _, effect := range effects {
+		if refuse, refused := effect.(dispatch.RefuseRequest); refused {
+			return refuse.Reason.String()
+		}
+	}
+	return ""
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -165,6 +165,7 @@
 	h.tomb.Go(func() error { return h.runEvery(planInterval, h.readLeases) })
 	h.tomb.Go(h.runLoadExchange)
 	h.tomb.Go(func() error { return h.runEvery(planInterval, h.keepOrigins) })
+	h.tomb.Go(func() error { return h.runEvery(planInterval, h.keepBases) })
 	h.tomb.Go(func() error {
 		return h.runEvery(sweepInterval, func(ctx context.Context) {
 			h.sweep(ctx)
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -95,3 +95,23 @@
 		})
 	}
 }
+
+// TestBase guards against hosts that choose different bases from the same endpoints.
+func TestBase(t *testing.T) {
+	for name, test := range map[string]struct {
+		endpoints map[string]int
+		want      origin.Base
+		possible  bool
+	}{
+		"no endpoints":   {nil, origin.Base{}, false},
+		"one version":    {map[string]int{"v1": 1}, origin.Base{Software: "v1", Term: 4}, true},
+		"most endpoints": {map[string]int{"v1": 1, "v2": 3, "v3": 2}, origin.Base{Software: "v2", Term: 4}, true},
+		"as many":        {map[string]int{"v3": 2, "v2": 2, "v1": 1}, origin.Base{Software: "v2", Term: 4}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			next, possible := origin.Base{Software: "v0", Term: 3}.Next(test.endpoints)
+			qt.Check(t, possible, qt.Equals, test.possible)
+			qt.Check(t, next, qt.Equals, test.want)
+		})
+	}
+}
