Judge joined and refused streams in the soak

TestSoakReleases draws releases of newer engines beside hosts that are killed (alone and all at once), stopped, suspended and cut off. Callers take up the streams that break, and some that they leave, at any host. Joined streams are judged everywhere; the share that goes on is judged at hosts in touch, of streams whose version is in service.

One read of the bases without a response is followed by a pause of a second now.

--- a/entry/bases.go
+++ b/entry/bases.go
@@ -23,6 +23,8 @@
 	// that a fleet that starts together stays within the rate of the store.
 	baseReadPause = 200 * time.Millisecond
 	baseReadStep  = 5 * time.Millisecond
+	// failedReadPause is the least pause after a read without a response.
+	failedReadPause = time.Second
 	// absentReadPause is the pause between two reads while a base is out of service, until a lease holder changes it.
 	absentReadPause = origin.Retention / 4
 	// baseTrust is for how long a base may be out of service, as far as this host knows, until it is no longer relied on. It is below
@@ -117,7 +119,13 @@
 		h.bases.nextRead = now + pause
 	}
 	h.mu.Unlock()
-	if !due || h.readOrigins(now) == nil {
+	if !due {
+		return
+	}
+	if h.readOrigins(now) == nil {
+		h.mu.Lock()
+		h.bases.nextRead = max(h.bases.nextRead, h.Now()+failedReadPause)
+		h.mu.Unlock()
 		return
 	}
 	for pool, base := range h.missingBases(endpoints) {
--- a/entry/collector.go
+++ b/entry/collector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"slices"
 	"strings"
 	"time"
@@ -69,19 +70,12 @@
 	if slices.Contains(names, h.settings.Name) {
 		return peer.Target{}, nil, true
 	}
-	m := h.fleet.members[names[(h.collecting.turn+hashOf(h.settings.Name))%len(names)]]
+	spread := fnv.New32a()
+	spread.Write([]byte(h.settings.Name)) // never fails
+	m := h.fleet.members[names[(h.collecting.turn+int(spread.Sum32()))%len(names)]]
 	return peer.Target{ID: m.ID, Address: m.Address}, h.fleet.client, false
 }
 
-// hashOf returns a number by which hosts are spread over collectors.
-func hashOf(name string) int {
-	sum := 0
-	for _, b := range []byte(name) {
-		sum = (31*sum + int(b)) % 10007
-	}
-	return sum
-}
-
 // commitRecords commits a transaction of the journal, in a large fleet through a collector. The errors are table.ErrNotApplied and
 // table.ErrOutcomeUnknown.
 func (h *Host) commitRecords(ctx context.Context, txn table.Txn) (table.Result, error) {
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,15 +25,18 @@
 
 // Settings of the deployment of a trial.
 const (
-	eventsPerStream  = 5
-	handoverGap      = 300 * time.Millisecond
-	gracePeriod      = 8 * time.Second
-	trustPeriod      = 10 * time.Second
-	responseDelay    = 10 * time.Millisecond
-	loadTime         = 100 * time.Millisecond
-	slowDelay        = 100 * time.Millisecond
-	lateDelay        = 1500 * time.Millisecond
-	faultyOperations = 20 // operations that one failure affects
+	eventsPerStream = 5
+	handoverGap     = 300 * time.Millisecond
+	gracePeriod     = 8 * time.Second
+	trustPeriod     = 10 * time.Second
+	responseDelay   = 10 * time.Millisecond
+	// longResponseDelay replaces responseDelay where callers take up streams, so that more of them run when a host ends.
+	longResponseDelay = 60 * time.Millisecond
+	loadTime          = 100 * time.Millisecond
+	slowDelay         = 100 * time.Millisecond
+	releaseEngines    = 2 // that a release starts
+	lateDelay         = 1500 * time.Millisecond
+	faultyOperations  = 20 // operations that one failure affects
 	// restTime is the time for which an endpoint asks for no requests.
 	restTime = 2 * time.Second
 	// storeAbsence is how long the store is away before it comes back from a copy.
@@ -74,13 +78,14 @@
 
 // deployment is a running deployment into which a trial injects faults.
 type deployment struct {
-	t         *testing.T
-	sizes     soak.Sizes
-	startedAt time.Time
-	store     *process.Process
-	hosts     []*host
-	endpoints []*endpoint
-	client    *http.Client
+	t             *testing.T
+	sizes         soak.Sizes
+	responseDelay time.Duration // before each event of a stream
+	startedAt     time.Time
+	store         *process.Process
+	hosts         []*host
+	endpoints     []*endpoint
+	client        *http.Client
 
 	configuring   sync.Mutex // held while a configuration is being written
 	mu            sync.Mutex
@@ -88,11 +93,12 @@
 	keys          []string
 	withdrawnAt   time.Duration
 	violations    []string
+	released      map[string]fakeplatform.History // of the engines of releases, by ID
 }
 
 // newDeployment starts a deployment and waits until every host is ready.
-func newDeployment(t *testing.T, sizes soak.Sizes) *deployment {
-	d := &deployment{t: t, sizes: sizes, keys: []string{"k1", "k2"}, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+func newDeployment(t *testing.T, sizes soak.Sizes, responseDelay time.Duration) *deployment {
+	d := &deployment{t: t, responseDelay: responseDelay, sizes: sizes, keys: []string{"k1", "k2"}, released: map[string]fakeplatform.History{}, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	d.store = d.startStandin("store", "store", struct{}{})
 	for n := range sizes.Endpoints {
 		d.addEndpoint(n)
@@ -142,7 +148,7 @@
 	if n < d.sizes.Engines {
 		settings.Service, settings.Slots, settings.MaxModels, settings.MaxAdapters = "llm", 64, 3, 2
 		settings.Models = [][]string{{"m1", "m2"}, {"m1"}}[n%2]
-		settings.ResponseDelay, settings.LoadTime = document.Duration(responseDelay), document.Duration(loadTime)
+		settings.ResponseDelay, settings.LoadTime = document.Duration(d.responseDelay), document.Duration(loadTime)
 	}
 	e.process = d.startStandin(e.id, "endpoint", settings)
 	d.endpoints = append(d.endpoints, e)
@@ -332,6 +338,8 @@
 		time.Sleep(s.For)
 		d.post(d.store, fmt.Sprintf("/restore?absence=%s", storeAbsence))
 		d.rewriteConfiguration()
+	case soak.Release:
+		d.release(a.Version, s.For)
 	case soak.Withdraw:
 		d.withdrawKey()
 	case soak.Reconfigure:
@@ -431,19 +439,54 @@
 
 // histories fetches the histories of all endpoints, by endpoint ID.
 func (d *deployment) histories() map[string]fakeplatform.History {
-	all := map[string]fakeplatform.History{}
+	all := maps.Clone(d.released)
 	for _, e := range d.endpoints {
-		response, err := d.client.Get("http://" + e.process.Address() + "/runs")
-		qt.Assert(d.t, err, qt.IsNil)
-		var history fakeplatform.History
-		err = json.NewDecoder(response.Body).Decode(&history)
-		response.Body.Close()
-		qt.Assert(d.t, err, qt.IsNil)
-		all[e.id] = history
+		all[e.id] = d.history(e.process)
 	}
 	return all
 }
 
+// history fetches the history of an endpoint.
+func (d *deployment) history(p *process.Process) fakeplatform.History {
+	response, err := d.client.Get("http://" + p.Address() + "/runs")
+	qt.Assert(d.t, err, qt.IsNil)
+	defer response.Body.Close()
+	var history fakeplatform.History
+	err = json.NewDecoder(response.Body).Decode(&history)
+	qt.Assert(d.t, err, qt.IsNil)
+	return history
+}
+
+// release starts engines of a software version. After the duration they leave, and end when hosts must have stopped using them.
+func (d *deployment) release(version int, duration time.Duration) {
+	started := map[string]*process.Process{}
+	for n := range releaseEngines {
+		id := fmt.Sprintf("e-%s-%d", soak.VersionName(version), n)
+		started[id] = d.startStandin(id, "endpoint", fakeplatform.Settings{
+			ID: id, Service: "llm", Zone: "z1", Store: d.store.Address(), Version: soak.VersionName(version), Slots: 64, MaxModels: 3, MaxAdapters: 2, Models: []string{"m1"},
+			EventsPerStream: eventsPerStream, ResponseDelay: document.Duration(d.responseDelay), LoadTime: document.Duration(loadTime),
+		})
+	}
+	time.Sleep(duration)
+	for _, p := range started {
+		d.post(p, "/leave")
+	}
+	time.Sleep(drainPeriod + recoveryTime)
+	for id, p := range started {
+		history := d.history(p)
+		p.Kill()
+		d.removeRegistration(id)
+		d.mu.Lock()
+		d.released[id] = history
+		d.mu.Unlock()
+	}
+}
+
+// removeRegistration removes the registration of an endpoint that has ended.
+func (d *deployment) removeRegistration(id string) {
+	d.waitUntil("the registration of "+id+" is removed", func() bool { return fakeplatform.RemoveRow(d.client, d.store.Address(), "servers", id) == nil })
+}
+
 // saveLog appends the log of a process to a file in the directory given by -logs; without -logs it does nothing.
 func (d *deployment) saveLog(p *process.Process) {
 	if *logs == "" {
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,3 +54,26 @@
 		qt.Check(t, found, qt.IsTrue, qt.Commentf("%s, seed %d: the plan has no Isolate, LeaveEndpoint or RestoreStore step", cause, seed))
 	}
 }
+
+// TestReleasePlan guards against seeds that no longer cover releases beside each kind of fault of a host, and beside the end of all hosts.
+func TestReleasePlan(t *testing.T) {
+	kinds, allKilled := map[string]int{}, 0
+	for seed := range uint64(100) {
+		killedAt := map[time.Duration]int{}
+		for _, s := range soak.NewReleasePlan(seed, usualSizes, planLength) {
+			kinds[fmt.Sprintf("%T", s.Act)]++
+			if _, kills := s.Act.(soak.KillHost); kills {
+				killedAt[s.At]++
+			}
+		}
+		for _, count := range killedAt {
+			if count == usualSizes.Hosts {
+				allKilled++
+			}
+		}
+	}
+	for _, kind := range []string{"soak.Release", "soak.KillHost", "soak.StopHost", "soak.PauseHost", "soak.Disturb"} {
+		qt.Check(t, kinds[kind] >= 50, qt.IsTrue, qt.Commentf("%s: %d", kind, kinds[kind]))
+	}
+	qt.Check(t, allKilled >= 20, qt.IsTrue, qt.Commentf("%d", allKilled))
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -76,16 +76,36 @@
 	}
 }
 
-// runSeed runs the plan of a seed against a new deployment and checks the guarantees.
+// TestSoakReleases guards against streams that are joined from two software versions, or refused without need, while engines of other versions
+// join and leave and hosts are killed, stopped, suspended and cut off.
+func TestSoakReleases(t *testing.T) {
+	for n := range max(*seeds, len(usualSeeds)) {
+		seed := *first + uint64(n)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			runPlan(t, seed, func(sizes soak.Sizes) []soak.Step { return soak.NewReleasePlan(seed, sizes, planLength) }, true)
+		})
+	}
+}
+
+// runSeed runs the plan of a seed.
 func runSeed(t *testing.T, seed uint64) {
+	runPlan(t, seed, func(sizes soak.Sizes) []soak.Step { return soak.NewPlan(seed, sizes, planLength) }, false)
+}
+
+// runPlan runs a plan against a new deployment, in which callers take up streams if takeUp is set, and checks the guarantees.
+func runPlan(t *testing.T, seed uint64, plan func(soak.Sizes) []soak.Step, takeUp bool) {
 	t.Parallel()
 	sizes := usualSizes
 	if *hosts > 0 {
 		sizes = soak.Sizes{Hosts: *hosts, Engines: 2 * *hosts / 3, Services: 2 * *hosts / 3, Endpoints: 2 * (2 * *hosts / 3)}
 	}
-	steps := soak.NewPlan(seed, sizes, planLength)
-	d := newDeployment(t, sizes)
-	callers := d.startCallers(seed)
+	steps := plan(sizes)
+	delay := responseDelay
+	if takeUp {
+		delay = longResponseDelay
+	}
+	d := newDeployment(t, sizes, delay)
+	callers := d.startCallers(seed, takeUp)
 	var activeSteps sync.WaitGroup
 	for _, s := range steps {
 		activeSteps.Go(func() { d.runStep(s) })
@@ -108,6 +128,7 @@
 	trial.Endpoints = d.histories()
 	violations := append(trial.Violations(), d.violations...)
 	t.Log(summary(trial.Exchanges))
+	t.Log(trial.DescribeVersions())
 	if !qt.Check(t, violations, qt.HasLen, 0) {
 		for _, s := range steps {
 			t.Log(s)
--- a/soak/trial.go
+++ b/soak/trial.go
@@ -25,6 +25,8 @@
 	HasResponseStamp bool          // the response has an endpoint's response stamp
 	Complete         bool          // the whole body arrived
 	ResponseBody     string
+	LastEvent        string // id of the last complete event; empty without one
+	Resumes          string // ID of the exchange that brought the first event of the stream that this one takes up
 	LeavingEndpoint  string // id of the endpoint if the response says that the endpoint leaves
 }
 
@@ -82,6 +84,7 @@
 		}
 	}
 	t.checkRate(runsByID, report)
+	t.checkVersions(report)
 	slices.Sort(violations)
 	return violations
 }
@@ -132,12 +135,15 @@
 
 // checkResponse checks the body of a complete response with status 200.
 func (t Trial) checkResponse(e Exchange, report reportFunc) {
-	if !strings.Contains(e.ResponseBody, e.ID) {
+	if !strings.Contains(e.ResponseBody, e.ID) && e.Resumes == "" {
 		report("request %s got a response that does not contain its ID: %.80q", e.ID, e.ResponseBody)
 	}
 	if e.Route != "draft" && e.Route != "free" {
 		return
 	}
+	if e.Resumes != "" {
+		return // checkVersions compares it with the stream that it takes up
+	}
 	next := 1
 	for lines := bufio.NewScanner(strings.NewReader(e.ResponseBody)); lines.Scan(); {
 		id, found := strings.CutPrefix(lines.Text(), "id: ")
--- a/soak/trial_test.go
+++ b/soak/trial_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -179,3 +180,42 @@
 func order(owner string, fencingNumber, receivedAt int64) fakeplatform.Order {
 	return fakeplatform.Order{Owner: owner, FencingNumber: fencingNumber, ReceivedAt: receivedAt}
 }
+
+// TestVersionViolations guards against a check that misses joined streams, or streams that are refused without need, or reports those that
+// engines can't serve or that hosts out of touch refuse.
+func TestVersionViolations(t *testing.T) {
+	event := func(n int, version string) string {
+		return fmt.Sprintf("id: %d\ndata: piece %d of r by %s\n\n", n, n, version)
+	}
+	release := soak.Step{At: 0, For: time.Minute, Act: soak.Release{Version: 2}}
+	for name, test := range map[string]struct {
+		streams    int
+		rest       string // response body of the request that takes a stream up
+		version    string // that began the streams
+		steps      []soak.Step
+		violations int
+	}{
+		"gone on":                         {12, event(2, "v1"), "v1", nil, 0},
+		"joined":                          {3, event(2, "v2"), "v1", nil, 1},
+		"few joined":                      {2, event(2, "v2"), "v1", nil, 0},
+		"joined in an incomplete event":   {3, "id: 2\ndata: piece 2 of r by v2", "v1", nil, 0},
+		"refused":                         {12, "", "v1", nil, 1},
+		"few refused":                     {11, "", "v1", nil, 0},
+		"refused, version in service":     {12, "", "v2", []soak.Step{release}, 1},
+		"refused, version not in service": {12, "", "v2", nil, 0},
+		"refused at a host out of touch":  {12, "", "v1", []soak.Step{{At: 9 * time.Second, For: time.Second, Act: soak.PauseHost{Host: 1}}}, 0},
+		"refused, another host paused":    {12, "", "v1", []soak.Step{{At: 9 * time.Second, For: time.Second, Act: soak.PauseHost{Host: 2}}}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			trial := soak.Trial{Guarantees: testGuarantees(), StartedAt: time.UnixMilli(0), Steps: test.steps}
+			for n := range test.streams {
+				begun := soak.Exchange{ID: fmt.Sprint("b", n), Route: "free", Path: "/free/1", APIKey: "k1", SentAt: 9 * time.Second, EndedAt: 10 * time.Second, ResponseBody: event(1, test.version)}
+				rest := begun
+				rest.ID, rest.Host, rest.Resumes, rest.SentAt, rest.EndedAt, rest.ResponseBody = fmt.Sprint("t", n), 1, begun.ID, 11*time.Second, 12*time.Second, test.rest
+				trial.Exchanges = append(trial.Exchanges, begun, rest)
+			}
+			violations := trial.Violations()
+			qt.Check(t, violations, qt.HasLen, test.violations, qt.Commentf("%q", violations))
+		})
+	}
+}
