Don't rely on a base that a restored store may have lost

Found in reading: a host that starts right after a restoration read rows without what the others had not yet written again, and could write another base than theirs in place of a lost row. A caller that does not send Resumes can take a stream up only while one version is in service, as before the records.

TestBaseAfterRestoration with a host that starts before the row is written again, TestOriginsWithoutResumes: passed; the latter fails without the change for two versions.

--- a/entry/bases.go
+++ b/entry/bases.go
@@ -207,6 +207,7 @@
 		case found && absentFor > baseTrust && versions[known.Software] > 0: // the row still names the version that is back
 			known.seenAt = now
 			h.bases.known[pool] = known
+		case !found && h.recentlyRestored(): // another host may know the base that the store has lost
 		case !found || absentFor > origin.Retention && h.holdings[pool] != nil:
 			if base, possible := known.Next(versions); possible {
 				missing[pool] = knownBase{Base: base, revision: known.revision, seenAt: now}
--- a/entry/bases_test.go
+++ b/entry/bases_test.go
@@ -88,6 +88,9 @@
 			h.bases.nextRead = 0
 			h.keepBases(t.Context())
 			standin.Restore(backup, 0)
+			early := startAgain("c", store, "v1", "v1", "v2")
+			early.keepBases(t.Context())
+			qt.Check(t, early.taken(t, "s1"), qt.Equals, "")
 			h.readOrigins(h.Now())
 			h.bases.nextRead = 0
 			h.keepBases(t.Context())
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -41,7 +41,7 @@
 	slowUntil  time.Duration   // until then the last slow write of the journal makes new streams avoid records
 	avoiding   bool            // new streams begin at base versions where possible, because records can't be written
 	recalled   bool            // the rows were read since this process started
-	restoredAt time.Duration   // when the store was last found to be restored; 0 if it never was
+	restoredAt time.Duration   // when the store was last found to be restored; 0 if it was not since this host started
 
 	reading sync.Mutex    // held by the one read of the rows
 	readAt  time.Duration // start of the last read; guarded by reading
@@ -100,13 +100,19 @@
 		recalled := (h.origins.recalled || arrivedAt > origin.Retention) && h.storeIsAway(arrivedAt)
 		h.log.Info("entry: records of streams could not be read", "request", arrival.Request.ID, "resumes", arrival.Request.Resumption.RequestID, "away", recalled)
 		return dispatch.Origin{Recalled: recalled}
-	case h.origins.restoredAt > 0 && h.Now()-h.origins.restoredAt < restorationGrace:
+	case h.recentlyRestored() || arrival.Request.Resumption.RequestID == "":
 		return dispatch.Origin{Recalled: true}
 	default:
 		return dispatch.Origin{Bases: rows.Bases()}
 	}
 }
 
+// recentlyRestored reports whether other hosts may not yet have written again what the store lost in a restoration. A host that starts in a
+// later era than the first can't know when that was. The caller holds the lock.
+func (h *Host) recentlyRestored() bool {
+	return h.store.Era() > 1 && h.Now()-h.origins.restoredAt < restorationGrace
+}
+
 // storeIsAway reports whether the configuration was confirmed to be current after a time although this host can't read from the store: the
 // store then responds to no host, so that no endpoint can have registered.
 func (h *Host) storeIsAway(after time.Duration) bool { return h.store.Silence() <= h.Now()-after }
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// TestOriginsWithoutResumes guards against a stream that goes on at the base version although its caller has not said which stream it is, and
+// against refusing it while there is only one version.
+func TestOriginsWithoutResumes(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions []string
+		want     string
+	}{
+		"two versions": {[]string{"v1", "v2"}, ""},
+		"one version":  {[]string{"v1"}, "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, store := startStore(t)
+			h := startAgain("a", store, test.versions...)
+			h.keepBases(t.Context())
+			qt.Check(t, h.taken(t, ""), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestOriginsAfterRestart guards against a host that takes a stream for one of the only version that it has seen, because the other
 // version has left before the host started, and against a row that can't be decoded and hides the others.
 func TestOriginsAfterRestart(t *testing.T) {
