--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -74,6 +74,24 @@
 	id      string
 	process *process.Process
 	proxy   *soak.Proxy
+
+	mu       sync.Mutex
+	listener string // address of the process; empty until it has started
+}
+
+// address returns the address of the process. A connection may reach the proxy before the process has started, from a host of an earlier
+// deployment that knows the port.
+func (e *endpoint) address() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listener
+}
+
+// setAddress sets the address of the process.
+func (e *endpoint) setAddress(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener = address
 }
 
 // deployment is a running deployment into which a trial injects faults.
@@ -143,7 +161,7 @@
 // addEndpoint starts the stand-in for an endpoint; the endpoint registers the address of its proxy in place of its own.
 func (d *deployment) addEndpoint(n int) {
 	e := &endpoint{id: soak.EndpointID(n)}
-	e.proxy = d.startProxy(func() string { return e.process.Address() })
+	e.proxy = d.startProxy(e.address)
 	settings := fakeplatform.Settings{ID: e.id, Service: "app", Zone: "z1", Store: d.store.Address(), Address: e.proxy.Address(), Slots: 6, EventsPerStream: eventsPerStream}
 	if n < d.sizes.Engines {
 		settings.Service, settings.Slots, settings.MaxModels, settings.MaxAdapters = "llm", 64, 3, 2
@@ -151,6 +169,7 @@
 		settings.ResponseDelay, settings.LoadTime = document.Duration(d.responseDelay), document.Duration(loadTime)
 	}
 	e.process = d.startStandin(e.id, "endpoint", settings)
+	e.setAddress(e.process.Address())
 	d.endpoints = append(d.endpoints, e)
 }
 
